--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -612,6 +612,61 @@
     start_ms: int
 
 
+class MirrorNotice(Message):
+    """
+    Tells a peer up to which change of the store this node knows.
+    """
+
+    newest: Annotated[
+        int, Meta(description="Greatest revision of an item in the mirror.")
+    ]
+    """
+    Greatest revision of an item in the mirror.
+    """
+    watching: Annotated[
+        bool, Meta(description="This node's own watch of the store works.")
+    ]
+    """
+    This node's own watch of the store works.
+    """
+
+
+class MirrorRequest(Message):
+    """
+    Asks a peer for the changes after a revision.
+    """
+
+    after: Annotated[
+        int, Meta(description="The sender's mirror is complete up to this revision.")
+    ]
+    """
+    The sender's mirror is complete up to this revision.
+    """
+
+
+class MirrorChanges(Message):
+    """
+    All changes between two revisions.
+    """
+
+    after: int
+    position: Annotated[
+        int, Meta(description="The changes are complete up to this revision.")
+    ]
+    """
+    The changes are complete up to this revision.
+    """
+    items: Annotated[
+        bytes,
+        Meta(
+            description="Compressed msgpack rows of key, value (nil if deleted) and revision."
+        ),
+    ]
+    """
+    Compressed msgpack rows of key, value (nil if deleted) and revision.
+    """
+
+
 class SnapshotQuery(Message):
     """
     Asks an owner for the snapshots that its shards can serve.
--- /dev/null
+++ b/src/geraniumstair/discovery/__init__.py
@@ -0,0 +1,7 @@
+"""Endpoints that register themselves."""
+
+from geraniumstair.discovery._registry import EndpointEntry
+from geraniumstair.discovery._registry import EndpointRegistry
+from geraniumstair.discovery._registry import EndpointState
+
+__all__ = ["EndpointEntry", "EndpointRegistry", "EndpointState"]
--- a/src/geraniumstair/dispatch/_response.py
+++ b/src/geraniumstair/dispatch/_response.py
@@ -16,20 +16,24 @@
 
     Attributes:
         status: HTTP status.
-        headers: Header values by lower-case name.
+        headers: Header values by lower-case name; the last one of a name.
+        fields: All headers in order, as the endpoint wrote them.
         body: The whole body.
     """
 
-    __slots__ = ("body", "headers", "status")
+    __slots__ = ("body", "fields", "headers", "status")
 
-    def __init__(self, status: int, headers: dict[bytes, bytes]) -> None:
+    def __init__(
+        self, status: int, fields: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
         self.status = status
-        self.headers = headers
-        self.body = b""
+        self.fields = fields
+        self.headers = {name.lower(): value for name, value in fields}
+        self.body = body
 
 
 class ResponseReader:
-    """Parses the responses of one connection, one at a time.
+    """Parses the responses of one connection.
 
     Args:
         max_body_bytes: Larger bodies are refused.
@@ -42,15 +46,15 @@
         self._max_body_bytes = max_body_bytes
         self._parser = httptools.HttpResponseParser(self)
         self.reusable = True
+        self._complete: list[Response] = []
+        self._unfinished_bytes = 0
         self._reset()
 
     def _reset(self) -> None:
-        self._headers: dict[bytes, bytes] = {}
+        self._fields: list[tuple[bytes, bytes]] = []
         self._chunks: list[bytes] = []
-        self._unfinished_bytes = 0
         self._body_bytes = 0
         self._in_body = False
-        self._response: Response | None = None
 
     @property
     def started(self) -> bool:
@@ -58,18 +62,36 @@
         return self._unfinished_bytes > 0
 
     def feed(self, data: bytes) -> Response | None:
-        """Adds received bytes.
+        """Adds received bytes while at most one response is expected.
 
         Args:
             data: At least one byte.
 
         Returns:
-            The response if it is complete.
+            The response if it is complete. Bytes after it were not asked
+            for and make the connection unusable.
 
         Raises:
             InvalidResponse: The bytes are no valid response, or a part of
                 it is too large.
         """
+        responses = self.feed_all(data)
+        if not responses:
+            return None
+        if self._unfinished_bytes or len(responses) > 1:
+            self.reusable = False
+        return responses[0]
+
+    def feed_all(self, data: bytes) -> list[Response]:
+        """Adds received bytes; returns all responses that are complete.
+
+        Args:
+            data: At least one byte.
+
+        Raises:
+            InvalidResponse: The bytes begin with no valid response, or a
+                part of it is too large.
+        """
         self._unfinished_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -77,29 +99,51 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
-            cause = error.__cause__ or error.__context__
-            if isinstance(cause, InvalidResponse):
-                raise cause from None
-            raise InvalidResponse(str(error)) from error
+            self.reusable = False
+            if not self._complete:
+                cause = error.__cause__ or error.__context__
+                if isinstance(cause, InvalidResponse):
+                    raise cause from None
+                raise InvalidResponse(str(error)) from error
         if not self._in_body and self._unfinished_bytes > MAX_HEADER_BYTES:
             raise InvalidResponse("the headers are too large")
-        response = self._response
-        if response is not None:
-            self._reset()
+        responses, self._complete = self._complete, []
+        return responses
+
+    def finish(self) -> Response | None:
+        """Returns the response that the end of the connection completes.
+
+        A response without a length ends with its connection; any other one
+        is cut off.
+        """
+        self.reusable = False
+        if not self._in_body:
+            return None
+        names = {name.lower() for name, _ in self._fields}
+        if b"content-length" in names or b"transfer-encoding" in names:
+            return None
+        return self._take()
+
+    def _take(self) -> Response:
+        response = Response(
+            self._parser.get_status_code(),
+            self._fields,
+            b"".join(self._chunks),
+        )
+        self._reset()
+        self._unfinished_bytes = 0
         return response
 
     # ---- called by httptools ----
 
     def on_message_begin(self) -> None:
         """A response begins."""
-        if self._response is not None:
-            # Bytes after the response were not asked for.
-            self.reusable = False
+        if self._complete:
+            self._unfinished_bytes = 1
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """A header is complete."""
-        if self._response is None:
-            self._headers[name.lower()] = value
+        self._fields.append((name, value))
 
     def on_headers_complete(self) -> None:
         """All headers are complete."""
@@ -107,8 +151,6 @@
 
     def on_body(self, body: bytes) -> None:
         """A part of the body has arrived."""
-        if self._response is not None:
-            return
         self._body_bytes += len(body)
         if self._body_bytes > self._max_body_bytes:
             raise InvalidResponse("the response is too large")
@@ -116,16 +158,10 @@
 
     def on_message_complete(self) -> None:
         """The response is complete; informational ones are passed over."""
-        if self._response is not None:
-            return
-        status = self._parser.get_status_code()
-        if status < _FIRST_FINAL_STATUS:
-            self._headers = {}
-            self._in_body = False
+        if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
+            self._reset()
             return
         # httptools tells this only until the next message begins.
         if not self._parser.should_keep_alive():
             self.reusable = False
-        response = Response(status, self._headers)
-        response.body = b"".join(self._chunks)
-        self._response = response
+        self._complete.append(self._take())
--- /dev/null
+++ b/src/geraniumstair/edge/__init__.py
@@ -0,0 +1,41 @@
+"""The node that serves callers on the users' platform."""
+
+from geraniumstair.edge._application import CallerApplication
+from geraniumstair.edge._application import CallerCodec
+from geraniumstair.edge._application import HttpAnswer
+from geraniumstair.edge._application import ReadinessApplication
+from geraniumstair.edge._application import RequestHead
+from geraniumstair.edge._lifecycle import Lifecycle
+from geraniumstair.edge._node import EdgeAdapters
+from geraniumstair.edge._node import EdgeNode
+from geraniumstair.edge._node import EdgeSettings
+from geraniumstair.edge._presence import Presence
+from geraniumstair.edge._presence import neighbours
+from geraniumstair.edge._state import DesiredState
+from geraniumstair.edge._state import EndpointChanged
+from geraniumstair.edge._state import EndpointGone
+from geraniumstair.edge._state import RoutesChanged
+from geraniumstair.edge._state import StateChange
+from geraniumstair.edge._state import StateDecoder
+from geraniumstair.edge._state import ZoneChanged
+
+__all__ = [
+    "CallerApplication",
+    "CallerCodec",
+    "DesiredState",
+    "EdgeAdapters",
+    "EdgeNode",
+    "EdgeSettings",
+    "EndpointChanged",
+    "EndpointGone",
+    "HttpAnswer",
+    "Lifecycle",
+    "Presence",
+    "ReadinessApplication",
+    "RequestHead",
+    "RoutesChanged",
+    "StateChange",
+    "StateDecoder",
+    "ZoneChanged",
+    "neighbours",
+]
--- /dev/null
+++ b/src/geraniumstair/edge/_application.py
@@ -0,0 +1,310 @@
+"""HTTP applications for callers and for the platform's balancer."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import MutableMapping
+from collections.abc import Sequence
+import dataclasses
+import logging
+from typing import Any
+from typing import Protocol
+
+import result
+import trio
+
+from geraniumstair import forward
+from geraniumstair import routing
+from geraniumstair.edge import _lifecycle
+
+_LOG = logging.getLogger(__name__)
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Mapping[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+RETRY_AFTER_START_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Everything of a caller's request but the body.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query, unchanged.
+        path: Path without the query.
+        fields: Headers in order, names in lower case.
+        received_s: On the monotonic clock.
+    """
+
+    method: bytes
+    target: bytes
+    path: str
+    fields: Sequence[tuple[bytes, bytes]]
+    received_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """What a caller gets."""
+
+    status: int
+    fields: Sequence[tuple[bytes, bytes]]
+    body: bytes = b""
+
+
+class CallerCodec(Protocol):
+    """What callers speak."""
+
+    def parse(
+        self, head: RequestHead, body: bytes | None
+    ) -> result.Result[forward.CallerRequest, str]:
+        """Reads a request; an error says what is wrong with it."""
+        ...
+
+    def render(self, outcome: forward.ForwardResult) -> HttpAnswer:
+        """Returns the answer to a request."""
+        ...
+
+
+class StateView(Protocol):
+    """The part of the desired state that the application reads."""
+
+    table: routing.RouteTable | None
+
+
+class _Gone(Exception):
+    """The caller closed the connection before its body was complete."""
+
+
+class _TooLarge(Exception):
+    """The body exceeds the limit."""
+
+
+class CallerApplication:
+    """Serves callers' requests.
+
+    Args:
+        state: The routes in force.
+        forwarder: Takes requests to endpoints.
+        codec: What callers speak.
+        lifecycle: Whether the node is stopping.
+    """
+
+    def __init__(
+        self,
+        state: StateView,
+        forwarder: forward.Forwarder,
+        codec: CallerCodec,
+        lifecycle: _lifecycle.Lifecycle,
+    ) -> None:
+        self._state = state
+        self._forwarder = forwarder
+        self._codec = codec
+        self._lifecycle = lifecycle
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serves one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self._serve_request(scope, receive, send)
+
+    async def _serve_request(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        try:
+            answer = await self._answer(scope, receive)
+        except _Gone:
+            return
+        if answer is not None:
+            await self._send(send, answer)
+
+    async def _answer(
+        self, scope: Scope, receive: Receive
+    ) -> HttpAnswer | None:
+        head = _head(scope)
+        table = self._state.table
+        limits = table.limits if table else routing.CallerLimits()
+        try:
+            body = await _read_body(head, receive, limits.max_body_bytes)
+        except _TooLarge:
+            _LOG.info("edge: a body of more than the limit was refused")
+            return HttpAnswer(413, [(b"connection", b"close")])
+        parsed = self._codec.parse(head, body)
+        if isinstance(parsed, result.Err):
+            _LOG.info("edge: refused a request: %s", parsed.err_value)
+            return HttpAnswer(400, [], parsed.err_value.encode())
+        request = parsed.ok_value
+        refused, route = self._find_route(request)
+        if refused is not None or route is None:
+            return self._codec.render(refused or _no_route("no route"))
+        return await self._forward(request, route, receive)
+
+    def _find_route(
+        self, request: forward.CallerRequest
+    ) -> tuple[forward.Refused | None, routing.Route | None]:
+        # The newest version counts, also if it arrived with the body.
+        table = self._state.table
+        if table is None:
+            refused = forward.Refused(
+                forward.RefusalReason.NO_CONFIGURATION,
+                True,
+                RETRY_AFTER_START_S,
+                "no version of the routes is known yet",
+            )
+            return refused, None
+        route = table.match(request.host, request.path)
+        if route is None:
+            detail = f"version {table.version} has no route"
+            _LOG.info(
+                "edge: request %s refused: %s for %s%s",
+                request.request_id.decode("latin-1"),
+                detail,
+                request.host,
+                request.path,
+            )
+            return _no_route(detail), None
+        return None, route
+
+    async def _forward(
+        self,
+        request: forward.CallerRequest,
+        route: routing.Route,
+        receive: Receive,
+    ) -> HttpAnswer | None:
+        outcome: forward.ForwardResult | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when_gone, receive, nursery.cancel_scope)
+            outcome = await self._forwarder.forward(request, route)
+            nursery.cancel_scope.cancel()
+        if outcome is None:
+            _LOG.info(
+                "edge: the caller of request %s has gone",
+                request.request_id.decode("latin-1"),
+            )
+            return None
+        return self._codec.render(outcome)
+
+    async def _send(self, send: Send, answer: HttpAnswer) -> None:
+        fields = list(answer.fields)
+        fields.append((b"content-length", b"%d" % len(answer.body)))
+        if self._lifecycle.stopping:
+            fields.append((b"connection", b"close"))
+        await send(
+            {
+                "type": "http.response.start",
+                "status": answer.status,
+                "headers": fields,
+            }
+        )
+        await send({"type": "http.response.body", "body": answer.body})
+
+
+class ReadinessApplication:
+    """Answers the balancer, and serves the metrics.
+
+    Args:
+        lifecycle: Whether the node is ready.
+        readiness_path: Path that the balancer asks for.
+        render_metrics: Returns the metrics as text.
+    """
+
+    def __init__(
+        self,
+        lifecycle: _lifecycle.Lifecycle,
+        readiness_path: str,
+        render_metrics: Callable[[], bytes],
+    ) -> None:
+        self._lifecycle = lifecycle
+        self._readiness_path = readiness_path
+        self._render_metrics = render_metrics
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serves one ASGI scope."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+            return
+        if scope["type"] != "http":
+            return
+        status, body = self._respond(scope["path"])
+        length = (b"content-length", b"%d" % len(body))
+        await send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [(b"content-type", b"text/plain"), length],
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    def _respond(self, path: str) -> tuple[int, bytes]:
+        if path == self._readiness_path:
+            return (200, b"ready") if self._lifecycle.ready else (503, b"no")
+        if path == "/metrics":
+            return 200, self._render_metrics()
+        return 404, b"not found"
+
+
+def _no_route(detail: str) -> forward.Refused:
+    return forward.Refused(forward.RefusalReason.NO_ROUTE, True, None, detail)
+
+
+def _head(scope: Scope) -> RequestHead:
+    path = scope["raw_path"]
+    query = scope["query_string"]
+    target = path + b"?" + query if query else path
+    return RequestHead(
+        method=scope["method"].encode("ascii"),
+        target=target,
+        path=path.decode("latin-1"),
+        fields=list(scope["headers"]),
+        received_s=trio.current_time(),
+    )
+
+
+async def _read_body(
+    head: RequestHead, receive: Receive, max_body_bytes: int
+) -> bytes | None:
+    """Returns the body; None if the request has none."""
+    chunks = []
+    size_bytes = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise _Gone
+        chunk = message.get("body", b"")
+        size_bytes += len(chunk)
+        if size_bytes > max_body_bytes:
+            raise _TooLarge
+        chunks.append(chunk)
+        if not message.get("more_body", False):
+            break
+    body = b"".join(chunks)
+    names = {name for name, _ in head.fields}
+    if b"content-length" in names or b"transfer-encoding" in names:
+        return body
+    return body or None
+
+
+async def _cancel_when_gone(receive: Receive, scope: trio.CancelScope) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            scope.cancel()
+            return
+
+
+async def _serve_lifespan(receive: Receive, send: Send) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        elif message["type"] == "lifespan.shutdown":
+            await send({"type": "lifespan.shutdown.complete"})
+            return
--- /dev/null
+++ b/src/geraniumstair/edge/_presence.py
@@ -0,0 +1,207 @@
+"""Which nodes are there: keys with leases in the store, and open streams."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Mapping
+import json
+import logging
+from typing import Protocol
+
+import result
+import trio
+
+from geraniumstair import mirror
+from geraniumstair import peers
+from geraniumstair import store
+
+_LOG = logging.getLogger(__name__)
+KEY_PREFIX = "geraniumstair/nodes/"
+LEASE_TTL_S = 8
+RENEW_INTERVAL_S = 2.5
+RETRY_S = 0.5
+# Above this number a node keeps streams to some of the others only; their
+# distances double, so a change crosses any site in a few hops.
+FULL_MESH_NODES = 10
+
+
+class LeaseStore(Protocol):
+    """The part of the store that presence uses."""
+
+    async def grant_lease(
+        self, ttl_s: int
+    ) -> result.Result[int, store.StoreFailure]:
+        """Creates a lease."""
+        ...
+
+    async def keep_alive(
+        self, lease_id: int
+    ) -> result.Result[bool, store.StoreFailure]:
+        """Renews a lease."""
+        ...
+
+    async def commit(
+        self, transaction: store.Transaction
+    ) -> result.Result[store.CommitOutcome, store.StoreFailure]:
+        """Writes keys."""
+        ...
+
+    async def revoke_lease(
+        self, lease_id: int
+    ) -> result.Result[None, store.StoreFailure]:
+        """Ends a lease."""
+        ...
+
+
+class Network(Protocol):
+    """The part of the peer network that presence uses."""
+
+    def connected(self) -> frozenset[str]:
+        """Returns the ids of the nodes that a stream is open to."""
+
+    def set_peers(self, addresses: Mapping[str, peers.PeerAddress]) -> None:
+        """Replaces the nodes to which streams are maintained."""
+
+
+def neighbours(node_id: str, members: Collection[str]) -> frozenset[str]:
+    """Returns the nodes that a node keeps streams to.
+
+    Args:
+        node_id: The node.
+        members: All nodes.
+    """
+    others = frozenset(members) - {node_id}
+    if len(others) < FULL_MESH_NODES:
+        return others
+    ring = sorted({*members, node_id})
+    own = ring.index(node_id)
+    chosen = set()
+    distance = 1
+    while distance < len(ring):
+        chosen.add(ring[(own + distance) % len(ring)])
+        distance *= 2
+    return frozenset(chosen)
+
+
+class Presence:
+    """Registers this node and follows the others.
+
+    Args:
+        node_id: This node.
+        address: Where its peers reach it.
+        lease_store: The store.
+        view: The mirror of the store.
+        network: Streams to peers.
+        changed: Called with the members when they change.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        address: peers.PeerAddress,
+        lease_store: LeaseStore,
+        view: mirror.Mirror,
+        network: Network,
+        changed: Callable[[frozenset[str]], None],
+    ) -> None:
+        self._node_id = node_id
+        self._address = address
+        self._store = lease_store
+        self._view = view
+        self._network = network
+        self._changed = changed
+        self._lease_id = 0
+        self._members: frozenset[str] = frozenset([node_id])
+
+    async def run(self) -> None:
+        """Keeps the registration and follows the members, for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._register_loop)
+            nursery.start_soon(self._follow_loop)
+
+    async def leave(self) -> None:
+        """Removes the registration; used when the node stops."""
+        if self._lease_id:
+            lease_id, self._lease_id = self._lease_id, 0
+            outcome = await self._store.revoke_lease(lease_id)
+            if isinstance(outcome, result.Err):
+                _LOG.info(
+                    "edge: the registration lapses by itself: %s",
+                    outcome.err_value.detail,
+                )
+
+    async def _register_loop(self) -> None:
+        while True:
+            renewed = await self._renew()
+            await trio.sleep(RENEW_INTERVAL_S if renewed else RETRY_S)
+
+    async def _renew(self) -> bool:
+        if self._lease_id:
+            kept = await self._store.keep_alive(self._lease_id)
+            if isinstance(kept, result.Err):
+                return False
+            registered = self._view.get(KEY_PREFIX + self._node_id) is not None
+            if kept.ok_value and registered:
+                return True
+        return await self._register()
+
+    async def _register(self) -> bool:
+        granted = await self._store.grant_lease(LEASE_TTL_S)
+        if isinstance(granted, result.Err):
+            return False
+        self._lease_id = granted.ok_value
+        value = json.dumps(
+            {"address": self._address.address, "port": self._address.port}
+        )
+        put = store.Put(
+            KEY_PREFIX + self._node_id, value.encode(), self._lease_id
+        )
+        outcome = await self._store.commit(store.Transaction(puts=[put]))
+        if isinstance(outcome, result.Err):
+            _LOG.warning(
+                "edge: cannot register this node: %s",
+                outcome.err_value.detail,
+            )
+            self._lease_id = 0
+            return False
+        return True
+
+    async def _follow_loop(self) -> None:
+        while True:
+            self._follow()
+            await trio.sleep(0.2)
+
+    def _follow(self) -> None:
+        registered = self._registered()
+        members = frozenset(registered) | self._network.connected()
+        members |= {self._node_id}
+        if members == self._members:
+            return
+        _LOG.info(
+            "edge: members appeared: %s; gone: %s",
+            sorted(members - self._members),
+            sorted(self._members - members),
+        )
+        self._members = members
+        chosen = neighbours(self._node_id, members)
+        self._network.set_peers(
+            {n: a for n, a in registered.items() if n in chosen}
+        )
+        self._changed(members)
+
+    def _registered(self) -> dict[str, peers.PeerAddress]:
+        found = {}
+        for item in self._view.with_prefix(KEY_PREFIX):
+            address = _decode_address(item.value or b"")
+            if address is None:
+                _LOG.warning("edge: the key %s names no node", item.key)
+            else:
+                found[item.key.removeprefix(KEY_PREFIX)] = address
+        return found
+
+
+def _decode_address(value: bytes) -> peers.PeerAddress | None:
+    try:
+        fields = json.loads(value)
+        return peers.PeerAddress(str(fields["address"]), int(fields["port"]))
+    except (ValueError, TypeError, KeyError):
+        return None
--- /dev/null
+++ b/src/geraniumstair/edge/_state.py
@@ -0,0 +1,135 @@
+"""What operators want and which endpoints exist, as read from the mirror."""
+
+from collections.abc import Sequence
+import dataclasses
+import logging
+from typing import Protocol
+
+import trio
+
+from geraniumstair import discovery
+from geraniumstair import mirror
+from geraniumstair import routing
+
+_LOG = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutesChanged:
+    """Another version of the routes."""
+
+    table: routing.RouteTable
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointChanged:
+    """What an endpoint says of itself."""
+
+    entry: discovery.EndpointEntry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointGone:
+    """The entry of an endpoint was removed, or names no endpoint."""
+
+    endpoint_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneChanged:
+    """An availability zone was taken out or brought back."""
+
+    availability_zone: str
+    out: bool
+
+
+StateChange = RoutesChanged | EndpointChanged | EndpointGone | ZoneChanged
+
+
+class StateDecoder(Protocol):
+    """Reads what others wrote to the store."""
+
+    def decode(self, item: mirror.MirrorItem) -> StateChange | None:
+        """Returns what an item means; None if it is none of these."""
+        ...
+
+
+class StateUser(Protocol):
+    """Follows the desired state."""
+
+    def adopt_table(self, table: routing.RouteTable) -> None:
+        """Adopts another version of the routes."""
+
+    def set_zones_out(self, zones: frozenset[str]) -> None:
+        """Sets the availability zones whose endpoints get nothing."""
+
+    def refresh(self) -> None:
+        """Follows the registry of endpoints."""
+
+
+class DesiredState:
+    """The newest version of everything, fed by the mirror.
+
+    Attributes:
+        table: The routes; None before the first version is known.
+    """
+
+    def __init__(
+        self,
+        decoder: StateDecoder,
+        registry: discovery.EndpointRegistry,
+        user: StateUser,
+    ) -> None:
+        self.table: routing.RouteTable | None = None
+        self._decoder = decoder
+        self._registry = registry
+        self._user = user
+        self._zones_out: frozenset[str] = frozenset()
+
+    def adopt(self, items: Sequence[mirror.MirrorItem]) -> None:
+        """Takes changed items."""
+        generation = self._registry.generation
+        for item in items:
+            change = self._decoder.decode(item)
+            if change is not None:
+                self._adopt_one(change)
+        if self._registry.generation != generation:
+            self._user.refresh()
+
+    async def expire_loop(self) -> None:
+        """Removes endpoints whose entries stay away, for ever."""
+        while True:
+            await trio.sleep(0.1)
+            removed = list(self._registry.expire())
+            if removed:
+                _LOG.info(
+                    "edge: endpoints gone after their entries lapsed: %s",
+                    ", ".join(entry.endpoint_id for entry in removed),
+                )
+                self._user.refresh()
+
+    def _adopt_one(self, change: StateChange) -> None:
+        match change:
+            case RoutesChanged(table):
+                self._adopt_table(table)
+            case EndpointChanged(entry):
+                self._registry.put(entry)
+            case EndpointGone(endpoint_id):
+                self._registry.lapse(endpoint_id)
+            case ZoneChanged(zone, out):
+                single = frozenset([zone])
+                zones = self._zones_out
+                self._zones_out = zones | single if out else zones - single
+                self._user.set_zones_out(self._zones_out)
+
+    def _adopt_table(self, table: routing.RouteTable) -> None:
+        if self.table is not None and table.version <= self.table.version:
+            _LOG.info(
+                "edge: version %d of the routes is not newer than %d",
+                table.version,
+                self.table.version,
+            )
+            return
+        _LOG.info("edge: version %d of the routes is in force", table.version)
+        self.table = table
+        self._user.adopt_table(table)
--- /dev/null
+++ b/src/geraniumstair/forward/__init__.py
@@ -0,0 +1,51 @@
+"""Forwards callers' requests to endpoints, each node deciding alone."""
+
+from geraniumstair.forward._budget import BudgetLimits
+from geraniumstair.forward._budget import RetryBudget
+from geraniumstair.forward._call import Call
+from geraniumstair.forward._call import CallerRequest
+from geraniumstair.forward._call import Dialect
+from geraniumstair.forward._call import Outcome
+from geraniumstair.forward._call import PreparedRequest
+from geraniumstair.forward._call import Reply
+from geraniumstair.forward._endpoints import EndpointPool
+from geraniumstair.forward._endpoints import PoolSettings
+from geraniumstair.forward._forwarder import Forwarder
+from geraniumstair.forward._link import Link
+from geraniumstair.forward._link import LinkFactory
+from geraniumstair.forward._link import TcpLinkFactory
+from geraniumstair.forward._metrics import ForwardMetrics
+from geraniumstair.forward._records import RECORD_BYTES
+from geraniumstair.forward._records import greatest_records
+from geraniumstair.forward._replica import Replica
+from geraniumstair.forward._result import ForwardResult
+from geraniumstair.forward._result import RefusalReason
+from geraniumstair.forward._result import Refused
+from geraniumstair.forward._result import SearchResult
+from geraniumstair.forward._result import SingleResult
+
+__all__ = [
+    "RECORD_BYTES",
+    "BudgetLimits",
+    "Call",
+    "CallerRequest",
+    "Dialect",
+    "EndpointPool",
+    "ForwardMetrics",
+    "ForwardResult",
+    "Forwarder",
+    "Link",
+    "LinkFactory",
+    "Outcome",
+    "PoolSettings",
+    "PreparedRequest",
+    "RefusalReason",
+    "Refused",
+    "Replica",
+    "Reply",
+    "RetryBudget",
+    "SearchResult",
+    "SingleResult",
+    "TcpLinkFactory",
+    "greatest_records",
+]
--- /dev/null
+++ b/src/geraniumstair/forward/_budget.py
@@ -0,0 +1,104 @@
+"""Budget of repeated calls, kept to by all nodes together.
+
+The site allows each service, in any window, a share of its requests and a
+fixed number of repeats on top. The share is earned by each node with its own
+requests. The fixed number is divided by the number of nodes, so no message is
+needed and the sum holds with any distribution of callers.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+# Part of what is allowed that is used. The rest is for repeats that cross the
+# edge of a window, and for nodes that have just joined.
+USED_PART = 0.85
+# Part of the fixed number that can be spent at once; the rest comes back over
+# the window.
+BURST_PART = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BudgetLimits:
+    """What the site allows each service.
+
+    Attributes:
+        ratio: Repeats for each request.
+        window_s: Window in which repeats are counted.
+        slack: Repeats in a window beyond the ratio.
+    """
+
+    ratio: float
+    window_s: float
+    slack: float
+
+
+class _Bucket:
+    __slots__ = ("filled_s", "tokens")
+
+    def __init__(self, tokens: float, filled_s: float) -> None:
+        self.tokens = tokens
+        self.filled_s = filled_s
+
+
+class RetryBudget:
+    """This node's part of the budget of each service.
+
+    Args:
+        limits: What the site allows.
+        clock: Returns a monotonic time in s.
+    """
+
+    def __init__(
+        self, limits: BudgetLimits, clock: Callable[[], float]
+    ) -> None:
+        self._limits = limits
+        self._clock = clock
+        self._buckets: dict[str, _Bucket] = {}
+        self._nodes = 1
+
+    def set_nodes(self, nodes: int) -> None:
+        """Sets the number of nodes that share the fixed number."""
+        self._nodes = max(1, nodes)
+
+    @property
+    def _slack(self) -> float:
+        return USED_PART * self._limits.slack / self._nodes
+
+    def earn(self, service: str) -> None:
+        """Counts the first call of a request to a service."""
+        bucket = self._bucket(service)
+        bucket.tokens += USED_PART * self._limits.ratio
+
+    def take(self, service: str) -> bool:
+        """Takes a repeat from the budget; False if there is none left."""
+        bucket = self._bucket(service)
+        if bucket.tokens < 1:
+            return False
+        bucket.tokens -= 1
+        return True
+
+    def share_left(self, service: str) -> float:
+        """Returns how much of the largest possible budget is left, 0 to 1."""
+        return min(1.0, self._bucket(service).tokens / self._capacity)
+
+    @property
+    def _capacity(self) -> float:
+        return max(1.0, BURST_PART * self._slack)
+
+    def _bucket(self, service: str) -> _Bucket:
+        now_s = self._clock()
+        bucket = self._buckets.get(service)
+        if bucket is None:
+            # A process that has just started may follow one that has spent
+            # its part, so it starts with less than a full bucket.
+            bucket = _Bucket(max(1.0, self._capacity / 2), now_s)
+            self._buckets[service] = bucket
+            return bucket
+        refill_s = now_s - bucket.filled_s
+        bucket.filled_s = now_s
+        per_s = (1 - BURST_PART) * self._slack / self._limits.window_s
+        # What requests earn may exceed the burst for a while.
+        greatest = max(self._capacity, bucket.tokens)
+        bucket.tokens = min(greatest, bucket.tokens + per_s * refill_s)
+        bucket.tokens = min(bucket.tokens, 3 * self._capacity)
+        return bucket
--- /dev/null
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -0,0 +1,338 @@
+"""The endpoints of each service, and the choice among them."""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Sequence
+import dataclasses
+import logging
+import random
+from typing import Any
+
+import trio
+import xxhash
+
+from geraniumstair import discovery
+from geraniumstair import routing
+from geraniumstair.forward import _link
+from geraniumstair.forward import _metrics
+from geraniumstair.forward import _replica
+
+_LOG = logging.getLogger(__name__)
+# Part of an endpoint's connections that the nodes share out. The rest is for
+# nodes that have just joined and connections that are being closed.
+CONNECTIONS_USED_PART = 0.8
+MAX_LINKS = 6
+# A failing endpoint is as costly as one that takes this much longer.
+FAILURE_COST_MS = 300.0
+# Requests of a cold endpoint that are used of those that it bears.
+WARMUP_USED_PART = 0.9
+# Endpoints of one service that a node of a large site uses, so that each
+# connection carries enough calls to stay open.
+LEAST_SUBSET = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolSettings:
+    """What this node is and how it weighs distance.
+
+    Attributes:
+        node_id: This node.
+        availability_zone: Where this node runs.
+        remote_cost_ms: What a call to another availability zone costs, as
+            additional time.
+    """
+
+    node_id: str
+    availability_zone: str
+    remote_cost_ms: float
+
+
+class _ColdLimit:
+    """Requests that this node may send to one cold endpoint."""
+
+    def __init__(self, per_s: float) -> None:
+        self._per_s = per_s
+        self._tokens = min(1.0, per_s)
+        self._filled_s = trio.current_time()
+
+    def allows(self) -> bool:
+        now_s = trio.current_time()
+        gained = (now_s - self._filled_s) * self._per_s
+        self._filled_s = now_s
+        self._tokens = min(max(1.0, self._per_s / 4), self._tokens + gained)
+        return self._tokens >= 1
+
+    def spend(self) -> None:
+        self._tokens -= 1
+
+
+class EndpointPool:
+    """All endpoints of the services that routes lead to.
+
+    Args:
+        settings: This node.
+        registry: The known endpoints.
+        factory: Opens connections.
+        spawner: Runs the tasks of the connections.
+        metrics: Where calls are counted.
+        rng: Breaks ties.
+    """
+
+    def __init__(
+        self,
+        settings: PoolSettings,
+        registry: discovery.EndpointRegistry,
+        factory: _link.LinkFactory,
+        spawner: _replica.Spawner,
+        metrics: _metrics.ForwardMetrics,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._registry = registry
+        self._factory = factory
+        self._spawner = spawner
+        self._metrics = metrics
+        self._rng = rng
+        self._replicas: dict[tuple[str, int, str, int], _replica.Replica] = {}
+        self._by_service: dict[str, list[_replica.Replica]] = {}
+        self._cold_limits: dict[str, _ColdLimit] = {}
+        self._table: routing.RouteTable | None = None
+        self._members: Sequence[str] = (settings.node_id,)
+        self._zones_out: frozenset[str] = frozenset()
+
+    # ---- what the pool is told ----
+
+    def adopt_table(self, table: routing.RouteTable) -> None:
+        """Adopts another version of the routes."""
+        self._table = table
+        self.refresh()
+
+    def set_members(self, members: Collection[str]) -> None:
+        """Sets the nodes that share the endpoints' connections."""
+        self._members = sorted({*members, self._settings.node_id})
+        self.refresh()
+
+    def set_zones_out(self, zones: frozenset[str]) -> None:
+        """Sets the availability zones whose endpoints get nothing."""
+        if zones != self._zones_out:
+            _LOG.info("forward: availability zones out: %s", sorted(zones))
+            back = self._zones_out - zones
+            self._zones_out = zones
+            self._mark_cold(back)
+
+    def _mark_cold(self, zones: frozenset[str]) -> None:
+        for replica in self._replicas.values():
+            if replica.entry.availability_zone in zones:
+                limits = self._limits(replica.entry.service)
+                replica.cold_until_s = trio.current_time() + limits.warmup_s
+
+    def refresh(self) -> None:
+        """Follows the registry; connections of removed endpoints close."""
+        entries = {e.lifetime: e for e in self._registry.entries()}
+        for lifetime in self._replicas.keys() - entries.keys():
+            self._replicas.pop(lifetime).close()
+        for lifetime, entry in entries.items():
+            replica = self._replicas.get(lifetime)
+            if replica is None:
+                replica = self._add(entry)
+                self._replicas[lifetime] = replica
+            elif entry.warmup_left_ms and entry != replica.entry:
+                self._note_cold(replica, entry)
+            replica.entry = entry
+            replica.max_links = self._max_links(entry.service)
+        self._index()
+
+    def _add(self, entry: discovery.EndpointEntry) -> _replica.Replica:
+        replica = _replica.Replica(
+            entry,
+            self._max_links(entry.service),
+            self._factory,
+            self._spawner,
+            self._metrics,
+        )
+        self._note_cold(replica, entry)
+        return replica
+
+    def _note_cold(
+        self, replica: _replica.Replica, entry: discovery.EndpointEntry
+    ) -> None:
+        left_s = entry.warmup_left_ms / 1000
+        replica.cold_until_s = trio.current_time() + left_s
+
+    def _index(self) -> None:
+        self._by_service = {}
+        for replica in self._replicas.values():
+            service = replica.entry.service
+            self._by_service.setdefault(service, []).append(replica)
+        wanted = self._table.services() if self._table else frozenset()
+        for service, replicas in self._by_service.items():
+            replicas[:] = self._subset(service, replicas)
+            if service in wanted:
+                for replica in replicas:
+                    if replica.entry.state is discovery.EndpointState.READY:
+                        replica.warm()
+
+    def _subset(
+        self, service: str, replicas: list[_replica.Replica]
+    ) -> list[_replica.Replica]:
+        """Returns the endpoints that this node uses.
+
+        With many nodes, an endpoint has not enough connections for all. Each
+        node then uses the endpoints that rank it highest.
+        """
+        limit = self._limits(service).max_connections * CONNECTIONS_USED_PART
+        nodes = len(self._members)
+        if nodes <= limit or len(replicas) <= LEAST_SUBSET:
+            return replicas
+        count = max(LEAST_SUBSET, int(len(replicas) * limit / nodes))
+        node_id = self._settings.node_id
+        ready = [
+            r
+            for r in replicas
+            if r.entry.state is discovery.EndpointState.READY
+        ]
+        ready.sort(
+            key=lambda r: xxhash.xxh64_intdigest(
+                f"{node_id}/{r.entry.endpoint_id}".encode()
+            )
+        )
+        kept = set(ready[:count])
+        return [r for r in replicas if r in kept] or replicas
+
+    def _limits(self, service: str) -> routing.ServiceLimits:
+        if self._table is None:
+            return routing.ServiceLimits()
+        return self._table.service_limits(service)
+
+    def _max_links(self, service: str) -> int:
+        limits = self._limits(service)
+        share = CONNECTIONS_USED_PART * limits.max_connections
+        return max(1, min(MAX_LINKS, int(share / len(self._members))))
+
+    # ---- choice ----
+
+    def choose(
+        self, service: str, tried: Collection[str], *, healthy: bool = False
+    ) -> _replica.Replica | None:
+        """Returns the best endpoint for a call.
+
+        Args:
+            service: The service.
+            tried: Endpoints that must not be chosen.
+            healthy: Returns none rather than one that makes no progress.
+        """
+        now_s = trio.current_time()
+        best = None
+        best_cost = (9, 0.0)
+        for replica in self._by_service.get(service, ()):
+            if replica.entry.endpoint_id in tried:
+                continue
+            cost = self._cost(replica, now_s)
+            if cost is not None and cost < best_cost:
+                best, best_cost = replica, cost
+        if best is None or (healthy and best_cost[0] > 0):
+            return None
+        limit = self._cold_limit(best, now_s)
+        if limit is not None:
+            limit.spend()
+        return best
+
+    def _cost(
+        self, replica: _replica.Replica, now_s: float
+    ) -> tuple[int, float] | None:
+        """Returns the rank and the expected time; None if it can't be used."""
+        entry = replica.entry
+        state = entry.state
+        if state is discovery.EndpointState.DRAINING:
+            return None
+        if entry.availability_zone in self._zones_out:
+            return None
+        limit = self._cold_limit(replica, now_s)
+        if limit is not None and not limit.allows():
+            return None
+        rank = 0
+        if state is discovery.EndpointState.LAPSED or replica.is_avoided(now_s):
+            rank = 2
+        elif replica.is_stalled(now_s):
+            rank = 1
+        waits = 1 + replica.load / max(1, entry.slots)
+        cost_ms = replica.latency_ms * waits
+        cost_ms += FAILURE_COST_MS * replica.failure_share
+        if entry.availability_zone != self._settings.availability_zone:
+            cost_ms += self._settings.remote_cost_ms
+        return rank, cost_ms + self._rng.random()
+
+    def _cold_limit(
+        self, replica: _replica.Replica, now_s: float
+    ) -> _ColdLimit | None:
+        if now_s >= replica.cold_until_s:
+            return None
+        endpoint_id = replica.entry.endpoint_id
+        limit = self._cold_limits.get(endpoint_id)
+        if limit is None:
+            per_s = self._cold_share(replica)
+            if per_s is None:
+                return None
+            limit = self._cold_limits[endpoint_id] = _ColdLimit(per_s)
+        return limit
+
+    def _cold_share(self, replica: _replica.Replica) -> float | None:
+        """Returns this node's part of what a cold endpoint bears.
+
+        So many nodes share it that each may send one request a second; they
+        are the ones that rank highest for this endpoint. None if the
+        endpoint needs no care.
+        """
+        bears = self._limits(replica.entry.service).warmup_per_s
+        if bears <= 0:
+            return None
+        usable = bears * WARMUP_USED_PART
+        nodes = max(1, min(len(self._members), int(usable)))
+        endpoint_id = replica.entry.endpoint_id
+        ranked = sorted(
+            self._members,
+            key=lambda n: xxhash.xxh64_intdigest(f"{endpoint_id}/{n}".encode()),
+        )
+        if self._settings.node_id not in ranked[:nodes]:
+            return 0.0
+        return usable / nodes
+
+    def usable(self, service: str) -> bool:
+        """True if some endpoint of the service may get calls."""
+        return any(
+            r.entry.state is not discovery.EndpointState.DRAINING
+            and r.entry.availability_zone not in self._zones_out
+            for r in self._by_service.get(service, ())
+        )
+
+    def retry_after_s(self, service: str) -> float | None:
+        """Returns when an endpoint is expected back; None if unknown."""
+        now_s = trio.current_time()
+        waits = [
+            r.avoided_for_s(now_s)
+            for r in self._by_service.get(service, ())
+            if r.entry.state is discovery.EndpointState.READY
+        ]
+        return min(waits) if waits else None
+
+    def sweep(self) -> None:
+        """Ends calls that were abandoned, and forgets old limits."""
+        now_s = trio.current_time()
+        for replica in self._replicas.values():
+            replica.sweep(now_s)
+        if len(self._cold_limits) > len(self._replicas):
+            known = {r.entry.endpoint_id for r in self._replicas.values()}
+            self._cold_limits = {
+                key: v for key, v in self._cold_limits.items() if key in known
+            }
+
+    def replicas(self) -> Iterable[_replica.Replica]:
+        """Returns all endpoints."""
+        return self._replicas.values()
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state for the state dump."""
+        return {
+            service: [replica.dump() for replica in replicas]
+            for service, replicas in sorted(self._by_service.items())
+        }
--- /dev/null
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -0,0 +1,116 @@
+"""Takes a caller's request to its endpoints and returns what came of it."""
+
+import logging
+
+import trio
+
+from geraniumstair import routing
+from geraniumstair.forward import _budget
+from geraniumstair.forward import _call
+from geraniumstair.forward import _context
+from geraniumstair.forward import _endpoints
+from geraniumstair.forward import _metrics
+from geraniumstair.forward import _result
+from geraniumstair.forward import _search
+from geraniumstair.forward import _single
+from geraniumstair.forward import _timing
+
+_LOG = logging.getLogger(__name__)
+SWEEP_INTERVAL_S = 0.05
+# Splits that routes of earlier versions used are forgotten beyond this.
+_MAX_SPLITS = 2000
+
+
+class Forwarder:
+    """Serves requests on this node's own view of the endpoints.
+
+    Args:
+        pool: The endpoints.
+        budget: Repeats that this node may make.
+        dialect: What endpoints speak.
+        metrics: Where requests are counted.
+    """
+
+    def __init__(
+        self,
+        pool: _endpoints.EndpointPool,
+        budget: _budget.RetryBudget,
+        dialect: _call.Dialect,
+        metrics: _metrics.ForwardMetrics,
+    ) -> None:
+        self._context = _context.Context(
+            pool, budget, dialect, metrics, _timing.HedgeDelays()
+        )
+        self._splits: dict[
+            tuple[routing.SplitPart, ...], routing.WeightedSplit
+        ] = {}
+        self.in_progress = 0
+
+    async def run(self) -> None:
+        """Ends abandoned calls for ever."""
+        while True:
+            await trio.sleep(SWEEP_INTERVAL_S)
+            self._context.pool.sweep()
+
+    async def forward(
+        self, request: _call.CallerRequest, route: routing.Route
+    ) -> _result.ForwardResult:
+        """Serves one request.
+
+        If the task is cancelled, because the caller has gone, its calls are
+        abandoned.
+        """
+        self.in_progress += 1
+        try:
+            result = await self._forward(request, route)
+        finally:
+            self.in_progress -= 1
+        self._report(request, route, result)
+        return result
+
+    async def _forward(
+        self, request: _call.CallerRequest, route: routing.Route
+    ) -> _result.ForwardResult:
+        if route.is_search:
+            return await _search.Search(self._context, request, route).run()
+        service = self._split(route).next()
+        single = _single.Single(self._context, request, route, service)
+        return await single.run()
+
+    def _split(self, route: routing.Route) -> routing.WeightedSplit:
+        split = self._splits.get(route.parts)
+        if split is None:
+            if len(self._splits) >= _MAX_SPLITS:
+                self._splits.clear()
+            split = routing.WeightedSplit(route.parts)
+            self._splits[route.parts] = split
+        return split
+
+    def _report(
+        self,
+        request: _call.CallerRequest,
+        route: routing.Route,
+        result: _result.ForwardResult,
+    ) -> None:
+        took_s = trio.current_time() - request.received_s
+        metrics = self._context.metrics
+        kind = "search" if route.is_search else "single"
+        metrics.latency_s.labels(kind).observe(took_s)
+        outcome = "answered"
+        if isinstance(result, _result.Refused):
+            outcome = result.reason.value
+            _LOG.info(
+                "forward: request %s on route %s refused after %.0f ms: "
+                "%s (%s); not run: %s; retry after: %s s",
+                request.request_id.decode("latin-1"),
+                route.name,
+                took_s * 1000,
+                result.reason.value,
+                result.detail,
+                result.not_run,
+                result.retry_after_s,
+            )
+        elif isinstance(result, _result.SearchResult) and result.missing:
+            outcome = "partial"
+            metrics.missing_parts.inc(result.missing)
+        metrics.requests.labels(outcome).inc()
--- /dev/null
+++ b/src/geraniumstair/forward/_records.py
@@ -0,0 +1,28 @@
+"""Merges of opaque records of one size, ordered byte by byte."""
+
+from collections.abc import Iterable
+import heapq
+
+RECORD_BYTES = 16
+
+
+def split_records(body: bytes) -> list[bytes]:
+    """Splits a part into records; a shorter remainder is none."""
+    end = len(body) - len(body) % RECORD_BYTES
+    return [body[i : i + RECORD_BYTES] for i in range(0, end, RECORD_BYTES)]
+
+
+def greatest_records(parts: Iterable[bytes], count: int) -> bytes:
+    """Merges parts.
+
+    Args:
+        parts: Records of each part, in any order.
+        count: Records to keep; equal ones all count.
+
+    Returns:
+        The greatest records of all parts, greatest first.
+    """
+    records: list[bytes] = []
+    for body in parts:
+        records.extend(split_records(body))
+    return b"".join(heapq.nlargest(count, records))
--- /dev/null
+++ b/src/geraniumstair/forward/_search.py
@@ -0,0 +1,289 @@
+"""One search: a call to each shard, repeats, and the merged answer."""
+
+import logging
+import math
+
+import trio
+
+from geraniumstair import routing
+from geraniumstair.forward import _call
+from geraniumstair.forward import _context
+from geraniumstair.forward import _records
+from geraniumstair.forward import _replica
+from geraniumstair.forward import _result
+from geraniumstair.forward import _timing
+
+_LOG = logging.getLogger(__name__)
+# A shard whose endpoints refused or could not be reached is tried again
+# after this time, and a repeat that found no healthy endpoint as well.
+RETRY_PAUSE_S = 0.015
+# Repeats of one shard that certainly did not run.
+MAX_REFUSALS = 6
+
+
+class _Shard:
+    """Calls for one part."""
+
+    __slots__ = ("failed", "open", "part", "refusals", "retry_s", "runs",
+                 "service", "tried")  # fmt: skip
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.open: dict[_call.Call, _replica.Replica] = {}
+        self.tried: set[str] = set()
+        self.runs = 0
+        self.refusals = 0
+        self.retry_s = math.inf
+        self.part: _call.Reply | None = None
+        self.failed = False
+
+    @property
+    def pending(self) -> bool:
+        """True while a part may still come."""
+        return self.part is None and not self.failed
+
+
+class Search:
+    """Gathers the parts of one search.
+
+    Args:
+        context: What all requests share.
+        request: The caller's request.
+        route: Its route, which stays the same until the answer.
+    """
+
+    def __init__(
+        self,
+        context: _context.Context,
+        request: _call.CallerRequest,
+        route: routing.Route,
+    ) -> None:
+        self._context = context
+        self._route = route
+        self._prepared = context.dialect.prepare(request)
+        self._deadlines = _timing.deadlines(request, route)
+        self._shards = {name: _Shard(name) for name in route.shards}
+        self._least = max(
+            1, math.ceil(route.min_coverage * len(self._shards) - 1e-9)
+        )
+        self._answered = 0
+        self._failed = 0
+        self._hedge_s = math.inf
+        self._wake = trio.Event()
+
+    async def run(self) -> _result.ForwardResult:
+        """Returns the merged answer, or why there is none."""
+        refused = self._refuse_unserved()
+        if refused is not None:
+            return refused
+        try:
+            self._start()
+            while not self._decided():
+                with trio.move_on_at(self._next_s()):
+                    await self._wake.wait()
+                self._wake = trio.Event()
+                self._repeat_due()
+            return self._conclude()
+        finally:
+            self._abandon()
+
+    def _refuse_unserved(self) -> _result.Refused | None:
+        """Refuses at once if too many shards have no endpoint."""
+        pool = self._context.pool
+        unserved = [name for name in self._shards if not pool.usable(name)]
+        if len(self._shards) - len(unserved) >= self._least:
+            return None
+        return _result.Refused(
+            _result.RefusalReason.NO_ENDPOINT,
+            True,
+            self._context.retry_after_s(unserved[0]),
+            f"{len(unserved)} of {len(self._shards)} shards have no endpoint",
+        )
+
+    def _start(self) -> None:
+        now_s = trio.current_time()
+        self._hedge_s = now_s + self._context.delays.delay_ms(self._route) / 1e3
+        for shard in self._shards.values():
+            self._context.budget.earn(shard.service)
+            if not self._try_call(shard):
+                self._pause(shard, now_s)
+
+    # ---- calls ----
+
+    def _try_call(self, shard: _Shard, *, healthy: bool = False) -> bool:
+        replica = self._context.pool.choose(
+            shard.service, shard.tried, healthy=healthy
+        )
+        if replica is None:
+            return False
+        self._submit(shard, replica)
+        return True
+
+    def _submit(self, shard: _Shard, replica: _replica.Replica) -> None:
+        call = _call.Call(
+            prepared=self._prepared,
+            deadline_s=self._deadlines.caller_s,
+            priority=self._route.priority,
+            idempotent=True,
+            finished=self._finished,
+            shard=shard.service,
+        )
+        shard.tried.add(replica.entry.endpoint_id)
+        shard.runs += 1
+        shard.open[call] = replica
+        replica.submit(call)
+
+    def _finished(self, call: _call.Call, reply: _call.Reply) -> None:
+        shard = self._shards[call.shard]
+        shard.open.pop(call, None)
+        if not shard.pending:
+            return
+        now_s = trio.current_time()
+        if reply.outcome is _call.Outcome.ANSWERED:
+            self._take_part(shard, reply, (now_s - call.created_s) * 1000)
+        else:
+            self._retry(shard, call, reply, now_s)
+        if self._decided():
+            self._wake.set()
+
+    def _take_part(
+        self, shard: _Shard, reply: _call.Reply, took_ms: float
+    ) -> None:
+        shard.part = reply
+        self._answered += 1
+        self._context.delays.add(self._route, took_ms)
+        self._abandon_shard(shard)
+
+    def _retry(
+        self,
+        shard: _Shard,
+        call: _call.Call,
+        reply: _call.Reply,
+        now_s: float,
+    ) -> None:
+        if reply.outcome.not_run:
+            shard.runs -= 1
+            shard.refusals += 1
+        if shard.open:
+            return
+        arrived = reply.outcome is not _call.Outcome.NOT_SENT
+        if (
+            shard.runs >= self._route.max_attempts
+            or shard.refusals > MAX_REFUSALS
+            or (arrived and not self._context.budget.take(shard.service))
+        ):
+            self._fail(shard)
+            return
+        self._context.metrics.extra_calls.labels("retry").inc()
+        if not self._try_call(shard):
+            # Every endpoint was tried; one that did not run it may be asked
+            # again a little later.
+            if shard.runs == 0:
+                shard.tried.clear()
+                self._pause(shard, now_s)
+            else:
+                self._fail(shard)
+
+    def _pause(self, shard: _Shard, now_s: float) -> None:
+        shard.retry_s = now_s + RETRY_PAUSE_S
+        self._wake.set()
+
+    def _fail(self, shard: _Shard) -> None:
+        shard.failed = True
+        self._failed += 1
+
+    def _repeat_due(self) -> None:
+        now_s = trio.current_time()
+        for shard in self._shards.values():
+            if shard.pending and shard.retry_s <= now_s:
+                shard.retry_s = math.inf
+                self._call_again(shard, now_s)
+        if now_s >= self._hedge_s:
+            self._hedge(now_s)
+
+    def _call_again(self, shard: _Shard, now_s: float) -> None:
+        if self._try_call(shard):
+            return
+        shard.refusals += 1
+        if shard.refusals > MAX_REFUSALS:
+            self._fail(shard)
+        else:
+            self._pause(shard, now_s)
+
+    def _hedge(self, now_s: float) -> None:
+        """Repeats the calls that last long on other endpoints."""
+        self._hedge_s = math.inf
+        for shard in self._shards.values():
+            if not shard.pending or not shard.open:
+                continue
+            if shard.runs >= self._route.max_attempts:
+                continue
+            replica = self._context.pool.choose(
+                shard.service, shard.tried, healthy=True
+            )
+            if replica is None:
+                self._hedge_s = now_s + RETRY_PAUSE_S
+            elif self._context.budget.take(shard.service):
+                self._context.metrics.extra_calls.labels("hedge").inc()
+                self._submit(shard, replica)
+
+    # ---- the end ----
+
+    def _next_s(self) -> float:
+        now_s = trio.current_time()
+        next_s = self._deadlines.final_s
+        if now_s < self._deadlines.goal_s:
+            next_s = min(next_s, self._deadlines.goal_s)
+        next_s = min(next_s, self._hedge_s)
+        for shard in self._shards.values():
+            if shard.retry_s < next_s:
+                next_s = shard.retry_s
+        return next_s
+
+    def _decided(self) -> bool:
+        total = len(self._shards)
+        if self._answered + self._failed >= total:
+            return True
+        if total - self._failed < self._least:
+            return True
+        now_s = trio.current_time()
+        if now_s >= self._deadlines.final_s:
+            return True
+        return now_s >= self._deadlines.goal_s and (
+            self._answered >= self._least
+        )
+
+    def _conclude(self) -> _result.ForwardResult:
+        parts = [s.part for s in self._shards.values() if s.part is not None]
+        if len(parts) >= self._least:
+            return _result.SearchResult(
+                [part.signature for part in parts],
+                len(self._shards) - len(parts),
+                _records.greatest_records(
+                    (part.body for part in parts), self._route.top_k
+                ),
+            )
+        return self._refuse(len(parts))
+
+    def _refuse(self, parts: int) -> _result.Refused:
+        ran = any(shard.runs for shard in self._shards.values())
+        late = trio.current_time() >= self._deadlines.final_s
+        reasons = _result.RefusalReason
+        missing = next(s for s in self._shards.values() if s.part is None)
+        return _result.Refused(
+            reasons.TIMEOUT if late else reasons.ENDPOINT_FAILED,
+            not ran,
+            self._context.retry_after_s(missing.service),
+            f"{parts} of {len(self._shards)} parts, {self._least} needed, "
+            f"{self._failed} failed",
+        )
+
+    def _abandon_shard(self, shard: _Shard) -> None:
+        now_s = trio.current_time()
+        for call, replica in shard.open.items():
+            replica.abandon(call, now_s)
+        shard.open.clear()
+
+    def _abandon(self) -> None:
+        for shard in self._shards.values():
+            self._abandon_shard(shard)
--- /dev/null
+++ b/src/geraniumstair/mirror/_gossip.py
@@ -0,0 +1,171 @@
+"""Passes the mirror's changes on between nodes.
+
+A node whose mirror advances tells its peers the new position only; each peer
+that is behind asks one of those that told it. So each node receives each
+change once, whatever the number of peers.
+"""
+
+from collections.abc import Sequence
+import logging
+from typing import Protocol
+import zlib
+
+import msgspec
+import trio
+
+from geraniumstair import _struct
+from geraniumstair import peers
+from geraniumstair._generated import messages
+from geraniumstair.mirror import _feed
+from geraniumstair.mirror import _mirror
+from geraniumstair.mirror import _watchers
+
+_LOG = logging.getLogger(__name__)
+NOTICE_INTERVAL_S = 0.5
+REQUEST_TIMEOUT_MS = 500.0
+# A reply holds whole mirrors of hundreds of endpoints and routes.
+MAX_CHANGES_BYTES = 32 * 1024 * 1024
+
+
+class Network(Protocol):
+    """The part of the peer network that the gossip uses."""
+
+    def connected(self) -> frozenset[str]:
+        """Returns the ids of the nodes that a stream is open to."""
+
+    def send(self, node_id: str, message: _struct.Message) -> bool:
+        """Sends a one-way message."""
+
+    async def call(
+        self, node_id: str, request: _struct.Message, timeout_ms: float
+    ) -> object:
+        """Sends a request and returns a `Result` with the reply."""
+
+    def register(self, message_type: type, handler: peers.Handler) -> None:
+        """Sets the handler of a message type."""
+
+
+class MirrorGossip:
+    """Tells peers of changes and fetches those that this node lacks."""
+
+    def __init__(
+        self,
+        network: Network,
+        mirror: _mirror.Mirror,
+        feed: _feed.StoreFeed,
+        duty: _watchers.WatchDuty,
+    ) -> None:
+        self._network = network
+        self._mirror = mirror
+        self._feed = feed
+        self._duty = duty
+        self._told = 0
+        self._ahead: dict[str, int] = {}
+        self._changed = trio.Event()
+        self._behind = trio.Event()
+        network.register(messages.MirrorNotice, self._on_notice)
+        network.register(messages.MirrorRequest, self._on_request)
+        mirror.subscribe(self._on_change)
+
+    async def run(self) -> None:
+        """Sends notices and fetches changes for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._report_loop)
+            nursery.start_soon(self._fetch_loop)
+
+    def tell(self) -> None:
+        """Sends this node's position to all peers."""
+        self._told = self._mirror.newest
+        notice = messages.MirrorNotice(
+            newest=self._mirror.newest, watching=self._feed.working
+        )
+        for node_id in self._network.connected():
+            self._network.send(node_id, notice)
+
+    def _on_change(self, items: Sequence[_mirror.MirrorItem]) -> None:
+        self._changed.set()
+
+    async def _report_loop(self) -> None:
+        next_s = 0.0
+        while True:
+            with trio.move_on_at(next_s):
+                await self._changed.wait()
+            self._changed = trio.Event()
+            now_s = trio.current_time()
+            if self._mirror.newest > self._told or (
+                self._feed.working and now_s >= next_s
+            ):
+                self.tell()
+            if now_s >= next_s:
+                next_s = now_s + NOTICE_INTERVAL_S
+
+    async def _on_notice(
+        self, sender: str, notice: messages.MirrorNotice
+    ) -> None:
+        if notice.watching:
+            self._duty.heard()
+        if notice.newest > self._mirror.position:
+            self._ahead[sender] = notice.newest
+            self._behind.set()
+        else:
+            self._ahead.pop(sender, None)
+
+    async def _on_request(
+        self, sender: str, request: messages.MirrorRequest
+    ) -> messages.MirrorChanges:
+        return encode_changes(self._mirror, request.after)
+
+    async def _fetch_loop(self) -> None:
+        while True:
+            await self._behind.wait()
+            await self._fetch_once()
+
+    async def _fetch_once(self) -> None:
+        position = self._mirror.position
+        behind = [n for n, at in self._ahead.items() if at > position]
+        if not behind:
+            self._ahead.clear()
+            self._behind = trio.Event()
+            return
+        sender = behind[0]
+        del self._ahead[sender]
+        reply = await self._network.call(
+            sender, messages.MirrorRequest(after=position), REQUEST_TIMEOUT_MS
+        )
+        changes = getattr(reply, "ok_value", None)
+        if not isinstance(changes, messages.MirrorChanges):
+            _LOG.debug("mirror: no changes from %s", sender)
+            return
+        items = decode_changes(changes)
+        if items is None:
+            _LOG.warning("mirror: changes of %s cannot be read", sender)
+            return
+        if changes.after <= self._mirror.position:
+            self._mirror.apply(items, changes.position)
+
+
+def encode_changes(
+    mirror: _mirror.Mirror, after: int
+) -> messages.MirrorChanges:
+    """Encodes what changed after a revision."""
+    rows = [(i.key, i.value, i.revision) for i in mirror.since(after)]
+    return messages.MirrorChanges(
+        after=after,
+        position=mirror.position,
+        items=zlib.compress(msgspec.msgpack.encode(rows), 1),
+    )
+
+
+def decode_changes(
+    changes: messages.MirrorChanges,
+) -> list[_mirror.MirrorItem] | None:
+    """Decodes changes; None if they are damaged or too large."""
+    try:
+        unpacker = zlib.decompressobj()
+        raw = unpacker.decompress(changes.items, MAX_CHANGES_BYTES)
+        rows = msgspec.msgpack.decode(
+            raw, type=list[tuple[str, bytes | None, int]]
+        )
+    except (zlib.error, msgspec.MsgspecError):
+        return None
+    return [_mirror.MirrorItem(*row) for row in rows]
--- a/src/geraniumstair/node/__init__.py
+++ b/src/geraniumstair/node/__init__.py
@@ -6,8 +6,8 @@
 
 from geraniumstair import observe
 from geraniumstair._generated import settings as settings_models
-from geraniumstair.node import _listeners
 from geraniumstair.node import _node
+from geraniumstair.node import _ports
 from geraniumstair.node._settings import load_settings
 
 _LOG = logging.getLogger(__name__)
@@ -41,7 +41,7 @@
         settings.log_level,
         secrets=[settings.cluster_key, settings.operator_token],
     )
-    unusable = _listeners.find_unusable(settings)
+    unusable = _ports.find_unusable(settings)
     if unusable:
         _LOG.error(
             "node: Cannot listen on %s. Change the settings, or stop the "
--- a/src/geraniumstair/node/_node.py
+++ b/src/geraniumstair/node/_node.py
@@ -9,6 +9,7 @@
 from geraniumstair import configuration
 from geraniumstair import console
 from geraniumstair import dispatch
+from geraniumstair import listeners
 from geraniumstair import membership
 from geraniumstair import observe
 from geraniumstair import once
@@ -22,7 +23,6 @@
 from geraniumstair.node import _gauges
 from geraniumstair.node import _handlers
 from geraniumstair.node import _journal
-from geraniumstair.node import _listeners
 from geraniumstair.node import _operations
 from geraniumstair.node import _ownership
 from geraniumstair.node import _rollouts
@@ -204,9 +204,10 @@
             settings.node_id,
         )
         await nursery.start(
-            _listeners.serve_http,
+            listeners.serve_http,
             console.operator_application(operations, settings.operator_token),
-            settings.operator_listener,
+            settings.operator_listener.address,
+            settings.operator_listener.port,
             MAX_OPERATOR_BODY_BYTES,
             trio.sleep_forever,
         )
@@ -216,9 +217,10 @@
         application = search.caller_application(
             self._searcher, self._readiness, settings
         )
-        await _listeners.serve_http(
+        await listeners.serve_http(
             application,
-            settings.caller_listener,
+            settings.caller_listener.address,
+            settings.caller_listener.port,
             settings.max_request_body_bytes,
             self._closing.wait,
         )
--- /dev/null
+++ b/src/geraniumstair/platform/__main__.py
@@ -0,0 +1,52 @@
+"""Runs one node on the users' platform."""
+
+import logging
+import os
+import sys
+
+import trio
+
+from geraniumstair import edge
+from geraniumstair import errors
+from geraniumstair import observe
+from geraniumstair import store
+from geraniumstair.platform import _decoder
+from geraniumstair.platform import _http
+from geraniumstair.platform import _settings
+from geraniumstair.platform import _store
+
+_LOG = logging.getLogger("geraniumstair.platform")
+# The platform names the settings file in this variable.
+SETTINGS_VARIABLE = "GERANIUMSTAIR_BOOT"
+UNUSABLE_SETTINGS_STATUS = 2
+
+
+async def _run(settings: _settings.PlatformSettings) -> None:
+    metrics = store.StoreMetrics(observe.process_metrics())
+    adapters = edge.EdgeAdapters(
+        store=_store.PlatformStore(settings.store.address, metrics),
+        decoder=_decoder.PlatformDecoder(),
+        dialect=_http.PlatformDialect(),
+        codec=_http.PlatformCodec(),
+    )
+    await edge.EdgeNode(_settings.edge_settings(settings), adapters).run()
+
+
+def main() -> int:
+    """Runs a node; returns the exit status."""
+    observe.configure_logging("json", "INFO", stream=sys.stdout)
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        _LOG.error("platform: %s names no settings file", SETTINGS_VARIABLE)
+        return UNUSABLE_SETTINGS_STATUS
+    try:
+        settings = _settings.load_settings(path)
+        trio.run(_run, settings)
+    except errors.SettingsError as error:
+        _LOG.error("platform: %s", error)
+        return UNUSABLE_SETTINGS_STATUS
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/geraniumstair/platform/_decoder.py
@@ -0,0 +1,199 @@
+"""Reads what the operator and the endpoints write to the platform's store."""
+
+import logging
+
+import msgspec
+
+from geraniumstair import discovery
+from geraniumstair import edge
+from geraniumstair import mirror
+from geraniumstair import routing
+from geraniumstair.platform import _settings
+
+_LOG = logging.getLogger(__name__)
+_CONFIG_KEY = "op/config"
+_EVACUATION_PREFIX = "op/evacuate/"
+_SERVER_PREFIX = "servers/"
+_STATES = {
+    "ready": discovery.EndpointState.READY,
+    "draining": discovery.EndpointState.DRAINING,
+}
+
+
+class _SplitPart(msgspec.Struct):
+    service: str = msgspec.field(name="Service")
+    weight: float = msgspec.field(name="Weight")
+
+
+class _Route(msgspec.Struct):
+    host: str = msgspec.field(name="Host")
+    prefix: str = msgspec.field(name="Prefix")
+    name: str = msgspec.field(name="Name", default="")
+    # idempotent or non_idempotent: what may be repeated.
+    route_type: str = msgspec.field(name="RouteType", default="")
+    timeout_ms: float = msgspec.field(name="TimeoutMs", default=30_000.0)
+    latency_goal_ms: float = msgspec.field(name="LatencyGoalMs", default=1000.0)
+    priority: int = msgspec.field(name="Priority", default=1)
+    max_attempts: int = msgspec.field(name="MaxAttempts", default=1)
+    service: str = msgspec.field(name="Service", default="")
+    split: list[_SplitPart] = msgspec.field(
+        name="WeightedSplit", default_factory=list
+    )
+    shards: list[str] = msgspec.field(
+        name="FanoutServices", default_factory=list
+    )
+    top_k: int = msgspec.field(name="TopK", default=0)
+    min_coverage: float = msgspec.field(name="MinShardRatio", default=0.0)
+
+
+class _Service(msgspec.Struct):
+    name: str = msgspec.field(name="Name")
+    max_connections: int = msgspec.field(name="MaxConns", default=16)
+    warmup_s: float = msgspec.field(name="WarmupS", default=0.0)
+    warmup_per_s: float = msgspec.field(name="WarmupPerS", default=0.0)
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = msgspec.field(
+        name="MaxHeaderBytes", default=16 * 1024
+    )
+    max_body_bytes: int = msgspec.field(
+        name="MaxBodyBytes", default=1024 * 1024
+    )
+    idle_timeout_ms: float = msgspec.field(
+        name="IdleTimeoutMs", default=75_000.0
+    )
+
+
+class _Config(msgspec.Struct):
+    version: int = msgspec.field(name="Version")
+    routes: list[_Route] = msgspec.field(name="Routes")
+    services: list[_Service] = msgspec.field(
+        name="Services", default_factory=list
+    )
+    limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
+
+
+class _Server(msgspec.Struct):
+    service: str = msgspec.field(name="Service")
+    address: str = msgspec.field(name="Address")
+    availability_zone: str = msgspec.field(name="Zone")
+    state: str = msgspec.field(name="State")
+    version: str = msgspec.field(name="Version", default="")
+    slots: int = msgspec.field(name="Slots", default=1)
+    warmup_left_ms: float = msgspec.field(name="WarmupLeftMs", default=0.0)
+    started_ms: int = msgspec.field(name="born", default=0)
+
+
+class PlatformDecoder:
+    """Turns the platform's keys into changes of the product's state."""
+
+    def decode(self, item: mirror.MirrorItem) -> edge.StateChange | None:
+        """Returns what an item means; None if it is of no use here."""
+        if item.key == _CONFIG_KEY:
+            return self._decode_config(item)
+        if item.key.startswith(_SERVER_PREFIX):
+            return self._decode_server(item)
+        if item.key.startswith(_EVACUATION_PREFIX):
+            zone = item.key.removeprefix(_EVACUATION_PREFIX)
+            return edge.ZoneChanged(zone, item.value is not None)
+        return None
+
+    def _decode_config(
+        self, item: mirror.MirrorItem
+    ) -> edge.RoutesChanged | None:
+        if item.value is None:
+            _LOG.warning("platform: the configuration was removed; kept")
+            return None
+        try:
+            config = msgspec.json.decode(item.value, type=_Config)
+        except msgspec.MsgspecError as error:
+            _LOG.error("platform: the configuration is not valid: %s", error)
+            return None
+        return edge.RoutesChanged(_route_table(config))
+
+    def _decode_server(
+        self, item: mirror.MirrorItem
+    ) -> edge.EndpointChanged | edge.EndpointGone:
+        endpoint_id = item.key.removeprefix(_SERVER_PREFIX)
+        if item.value is None:
+            return edge.EndpointGone(endpoint_id)
+        try:
+            server = msgspec.json.decode(item.value, type=_Server)
+            entry = _endpoint_entry(endpoint_id, server)
+        except (msgspec.MsgspecError, ValueError) as error:
+            # Other writers may use the same prefix.
+            _LOG.warning(
+                "platform: the entry %s names no endpoint: %s",
+                endpoint_id,
+                error,
+            )
+            return edge.EndpointGone(endpoint_id)
+        return edge.EndpointChanged(entry)
+
+
+def _endpoint_entry(
+    endpoint_id: str, server: _Server
+) -> discovery.EndpointEntry:
+    state = _STATES.get(server.state)
+    if state is None:
+        raise ValueError(f"unknown state {server.state!r}")
+    if not server.service or not endpoint_id:
+        raise ValueError("no service or identity")
+    address = _settings.parse_address(server.address)
+    return discovery.EndpointEntry(
+        endpoint_id=endpoint_id,
+        started_ms=server.started_ms,
+        service=server.service,
+        address=address.address,
+        port=address.port,
+        availability_zone=server.availability_zone,
+        version=server.version,
+        slots=max(1, server.slots),
+        state=state,
+        warmup_left_ms=max(0.0, server.warmup_left_ms),
+    )
+
+
+def _route_table(config: _Config) -> routing.RouteTable:
+    limits = config.limits
+    return routing.RouteTable(
+        config.version,
+        [_route(route) for route in config.routes],
+        {
+            s.name: routing.ServiceLimits(
+                max_connections=s.max_connections,
+                warmup_s=s.warmup_s,
+                warmup_per_s=s.warmup_per_s,
+            )
+            for s in config.services
+        },
+        routing.CallerLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            idle_timeout_ms=limits.idle_timeout_ms,
+        ),
+    )
+
+
+def _route(route: _Route) -> routing.Route:
+    parts = tuple(
+        routing.SplitPart(part.service, part.weight) for part in route.split
+    )
+    if route.service and not parts:
+        parts = (routing.SplitPart(route.service, 1.0),)
+    return routing.Route(
+        name=route.name or f"{route.host}{route.prefix}",
+        host=route.host.lower(),
+        prefix=route.prefix,
+        # An unknown type gets the careful treatment.
+        idempotent=route.route_type == "idempotent",
+        max_attempts=max(1, route.max_attempts),
+        timeout_ms=route.timeout_ms,
+        latency_goal_ms=route.latency_goal_ms,
+        priority=route.priority,
+        parts=() if route.shards else parts,
+        shards=tuple(dict.fromkeys(route.shards)),
+        top_k=route.top_k,
+        min_coverage=route.min_coverage,
+    )
--- /dev/null
+++ b/src/geraniumstair/routing/__init__.py
@@ -0,0 +1,17 @@
+"""Routes of callers' requests, and the services that they lead to."""
+
+from geraniumstair.routing._split import WeightedSplit
+from geraniumstair.routing._table import CallerLimits
+from geraniumstair.routing._table import Route
+from geraniumstair.routing._table import RouteTable
+from geraniumstair.routing._table import ServiceLimits
+from geraniumstair.routing._table import SplitPart
+
+__all__ = [
+    "CallerLimits",
+    "Route",
+    "RouteTable",
+    "ServiceLimits",
+    "SplitPart",
+    "WeightedSplit",
+]
--- /dev/null
+++ b/src/geraniumstair/routing/_table.py
@@ -0,0 +1,148 @@
+"""One version of the routes, indexed by host and path prefix."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SplitPart:
+    """One service of a weighted split."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of one host and path prefix go.
+
+    Attributes:
+        name: Name for logs.
+        host: Host that callers name, in lower case and without a port.
+        prefix: Path prefix; it begins and ends with a slash.
+        idempotent: Requests may run more than once.
+        max_attempts: Endpoints that one request may run on, for each shard.
+        timeout_ms: Longest time that a caller is kept waiting.
+        latency_goal_ms: Time within which an answer has its full value.
+        priority: Rank; 0 is the most urgent.
+        parts: Services that share the requests by weight; one for a plain
+            route, none for a search.
+        shards: Services that are each asked for a part; none for a plain
+            route.
+        top_k: Records in the answer of a search.
+        min_coverage: Least share of shards in an answer, 0 to 1.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    max_attempts: int
+    timeout_ms: float
+    latency_goal_ms: float
+    priority: int
+    parts: tuple[SplitPart, ...] = ()
+    shards: tuple[str, ...] = ()
+    top_k: int = 0
+    min_coverage: float = 0.0
+
+    @property
+    def is_search(self) -> bool:
+        """True if each request goes to all shards."""
+        return bool(self.shards)
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """All services that the route may use."""
+        return self.shards or tuple(part.service for part in self.parts)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceLimits:
+    """What the endpoints of one service bear.
+
+    Attributes:
+        max_connections: Connections of one endpoint, from all nodes.
+        warmup_s: Time after a start during which an endpoint is cold.
+        warmup_per_s: Requests that a cold endpoint bears each second, from
+            all nodes; 0 if it needs no care.
+    """
+
+    max_connections: int = 16
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what callers send.
+
+    Attributes:
+        max_header_bytes: Request line and headers.
+        max_body_bytes: Body of a request.
+        idle_timeout_ms: Time that a connection may stay idle.
+    """
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 1024 * 1024
+    idle_timeout_ms: float = 75_000.0
+
+
+class RouteTable:
+    """All routes of one version; immutable.
+
+    Args:
+        version: Version of the configuration.
+        routes: The routes.
+        services: Limits by service; other services have the defaults.
+        limits: Bounds on callers' requests.
+    """
+
+    def __init__(
+        self,
+        version: int,
+        routes: Iterable[Route],
+        services: Mapping[str, ServiceLimits],
+        limits: CallerLimits,
+    ) -> None:
+        self.version = version
+        self.limits = limits
+        self._services = dict(services)
+        self._by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for of_host in self._by_host.values():
+            of_host.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Returns the route of the host with the longest matching prefix.
+
+        Args:
+            host: Host as the caller sent it.
+            path: Path without the query.
+        """
+        for route in self._by_host.get(_host_name(host), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def service_limits(self, service: str) -> ServiceLimits:
+        """Returns the limits of a service."""
+        return self._services.get(service, ServiceLimits())
+
+    def routes(self) -> Sequence[Route]:
+        """Returns all routes."""
+        return [r for of_host in self._by_host.values() for r in of_host]
+
+    def services(self) -> frozenset[str]:
+        """Returns the services that some route leads to."""
+        return frozenset(s for route in self.routes() for s in route.services)
+
+
+def _host_name(host: str) -> str:
+    name, _, port = host.rpartition(":")
+    if name and port.isdigit():
+        host = name
+    return host.lower()
--- a/src/geraniumstair/store/__init__.py
+++ b/src/geraniumstair/store/__init__.py
@@ -1,5 +1,7 @@
 """The platform's key-value service and its list of VMs."""
 
+from geraniumstair.store._connection import CallFailure
+from geraniumstair.store._connection import StoreConnection
 from geraniumstair.store._connection import StoreMetrics
 from geraniumstair.store._etcd import EtcdStore
 from geraniumstair.store._protocol import MAX_VALUE_BYTES
@@ -22,6 +24,7 @@
 
 __all__ = [
     "MAX_VALUE_BYTES",
+    "CallFailure",
     "CommitOutcome",
     "Compare",
     "CompareTarget",
@@ -32,6 +35,7 @@
     "KeyValue",
     "KeyValueStore",
     "Put",
+    "StoreConnection",
     "StoreFailure",
     "StoreMetrics",
     "Transaction",
--- a/src/geraniumstair/store/_connection.py
+++ b/src/geraniumstair/store/_connection.py
@@ -107,6 +107,8 @@
         timeout_ms: Limit of a call, tries and waiting included.
         max_concurrency: Calls in flight; watches are not counted.
         metrics: Where calls are counted.
+        not_executed_statuses: HTTP statuses of 500 and above that say that
+            the call was not executed.
     """
 
     def __init__(
@@ -116,6 +118,7 @@
         timeout_ms: float,
         max_concurrency: int,
         metrics: StoreMetrics,
+        not_executed_statuses: frozenset[int] = frozenset(),
     ) -> None:
         if not urls:
             raise ValueError("the store needs at least one URL")
@@ -126,6 +129,7 @@
         self._urls = [url.rstrip("/") for url in urls]
         self._current = 0
         self._timeout_s = timeout_ms / 1000
+        self._not_executed_statuses = not_executed_statuses
         self._limiter = trio.CapacityLimiter(max_concurrency)
         self._lost_at_s: float | None = None
 
@@ -141,7 +145,14 @@
             _LOG.debug("store: changed to %s", self.url)
 
     async def call(
-        self, kind: str, path: str, body: bytes, *, repeatable: bool
+        self,
+        kind: str,
+        path: str,
+        body: bytes,
+        *,
+        repeatable: bool,
+        method: str = "POST",
+        wait_ms: float = 0.0,
     ) -> result.Result[bytes, CallFailure]:
         """Makes one call.
 
@@ -150,13 +161,16 @@
             path: Path below the base URL.
             body: Request body.
             repeatable: Allows another try after an unknown effect.
+            method: HTTP method.
+            wait_ms: Time that the service may wait before it answers, on
+                top of the timeout.
 
         Returns:
             The reply body. The failure of the last try has effect NONE
             only if no try may have been executed.
         """
         started = time.perf_counter()
-        deadline = trio.current_time() + self._timeout_s
+        deadline = trio.current_time() + self._timeout_s + wait_ms / 1000
         place = object()
         acquired = False
         outcome: result.Result[bytes, CallFailure]
@@ -170,7 +184,7 @@
         else:
             try:
                 outcome = await self._try_urls(
-                    kind, path, body, deadline, repeatable
+                    kind, method, path, body, deadline, repeatable
                 )
             finally:
                 self._limiter.release_on_behalf_of(place)
@@ -200,6 +214,7 @@
     async def _try_urls(
         self,
         kind: str,
+        method: str,
         path: str,
         body: bytes,
         deadline: float,
@@ -211,7 +226,7 @@
             url = self.url
             self.metrics.calls.labels(kind).inc()
             outcome = await self._try_once(
-                url + path, body, deadline, tries_left, repeatable
+                method, url + path, body, deadline, tries_left, repeatable
             )
             if isinstance(outcome, result.Ok):
                 return outcome
@@ -227,6 +242,7 @@
 
     async def _try_once(
         self,
+        method: str,
         url: str,
         body: bytes,
         deadline: float,
@@ -241,20 +257,22 @@
         with trio.move_on_at(try_deadline):
             try:
                 async with self.pool.stream(
-                    "POST",
+                    method,
                     url,
                     headers=_HEADERS,
                     content=body,
                     extensions={"timeout": timeouts, "trace": trace},
                 ) as response:
-                    return await _read_reply(response)
+                    return await _read_reply(
+                        response, self._not_executed_statuses
+                    )
             except _HTTP_ERRORS as error:
                 detail = f"{type(error).__name__}: {error}"
         return _failed(trace.effect, detail)
 
 
 async def _read_reply(
-    response: httpcore.Response,
+    response: httpcore.Response, not_executed_statuses: frozenset[int]
 ) -> result.Result[bytes, CallFailure]:
     chunks = []
     size_bytes = 0
@@ -270,4 +288,6 @@
     detail = f"status {response.status}: {text}"
     if 400 <= response.status < 500:
         return _failed(_protocol.Effect.NONE, detail, response.status)
+    if response.status in not_executed_statuses:
+        return _failed(_protocol.Effect.NONE, detail)
     return _failed(_protocol.Effect.UNKNOWN, detail)
--- a/tests/test_node_parts.py
+++ b/tests/test_node_parts.py
@@ -10,7 +10,7 @@
 from geraniumstair._generated import settings
 from geraniumstair.node import _gauges
 from geraniumstair.node import _journal
-from geraniumstair.node import _listeners
+from geraniumstair.node import _ports
 
 
 class _Members:
@@ -138,6 +138,6 @@
     def test_port_in_use_is_named(self) -> None:
         with socket.create_server(("127.0.0.1", 0)) as server:
             port = server.getsockname()[1]
-            found = _listeners.find_unusable(self._settings(port))
+            found = _ports.find_unusable(self._settings(port))
             self.assertIn(f"caller_listener 127.0.0.1 port {port}", found)
-        self.assertEqual(_listeners.find_unusable(self._settings(0)), "")
+        self.assertEqual(_ports.find_unusable(self._settings(0)), "")
