--- a/src/geraniumstair/edge/_presence.py
+++ b/src/geraniumstair/edge/_presence.py
@@ -111,6 +111,8 @@
         self._changed = changed
         self._lease_id = 0
         self._members: frozenset[str] = frozenset([node_id])
+        self._read_at = -1
+        self._registered: dict[str, peers.PeerAddress] = {}
 
     async def run(self) -> None:
         """Keeps the registration and follows the members, for ever."""
@@ -171,7 +173,8 @@
             await trio.sleep(0.2)
 
     def _follow(self) -> None:
-        registered = self._registered()
+        self._read_registered()
+        registered = self._registered
         members = frozenset(registered) | self._network.connected()
         members |= {self._node_id}
         if members == self._members:
@@ -188,7 +191,10 @@
         )
         self._changed(members)
 
-    def _registered(self) -> dict[str, peers.PeerAddress]:
+    def _read_registered(self) -> None:
+        if self._read_at == self._view.newest:
+            return
+        self._read_at = self._view.newest
         found = {}
         for item in self._view.with_prefix(KEY_PREFIX):
             address = _decode_address(item.value or b"")
@@ -196,7 +202,7 @@
                 _LOG.warning("edge: the key %s names no node", item.key)
             else:
                 found[item.key.removeprefix(KEY_PREFIX)] = address
-        return found
+        self._registered = found
 
 
 def _decode_address(value: bytes) -> peers.PeerAddress | None:
--- a/src/geraniumstair/forward/_call.py
+++ b/src/geraniumstair/forward/_call.py
@@ -131,8 +131,10 @@
         shard: Service that is asked.
         endpoint_id: Endpoint that it was given to; empty before.
         created_s: When it was given to an endpoint.
-        sent_s: When its first byte was sent; 0 before.
+        sent: Some byte of it was sent, or may have been.
+        sent_s: When its first byte was sent.
         done: The reply was delivered or nobody waits for it.
+        abandoned_s: When nobody waited for it any more.
     """
 
     prepared: PreparedRequest
@@ -143,6 +145,7 @@
     shard: str
     endpoint_id: str = ""
     created_s: float = 0.0
+    sent: bool = False
     sent_s: float = 0.0
     done: bool = False
     abandoned_s: float = 0.0
--- a/src/geraniumstair/forward/_link.py
+++ b/src/geraniumstair/forward/_link.py
@@ -152,6 +152,7 @@
             self.close()
             return False
         self.call = call
+        call.sent = True
         call.sent_s = trio.current_time()
         if sent < len(data):
             self._unsent = data[sent:]
--- a/src/geraniumstair/forward/_single.py
+++ b/src/geraniumstair/forward/_single.py
@@ -178,7 +178,7 @@
         return min(self._deadlines.final_s, self._retry_s, self._hedge_s)
 
     def _time_out(self) -> None:
-        sent = any(call.sent_s for call in self._open)
+        sent = any(call.sent for call in self._open)
         if not sent:
             # Calls that still wait are withdrawn when they are abandoned.
             self._runs -= len(self._open)
--- /dev/null
+++ b/tests/builders_edge.py
@@ -0,0 +1,412 @@
+"""Builders of routes, endpoints, calls and fakes for the edge packages."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+import json
+import random
+from typing import Any
+
+import result
+import trio
+
+from geraniumstair import discovery
+from geraniumstair import dispatch
+from geraniumstair import forward
+from geraniumstair import mirror
+from geraniumstair import routing
+from geraniumstair import store
+
+ANSWERED = forward.Outcome.ANSWERED
+
+
+def entry(endpoint_id: str = "e1", **changes: Any) -> discovery.EndpointEntry:
+    """Returns a ready endpoint in availability zone `a`."""
+    fields = {
+        "endpoint_id": endpoint_id,
+        "started_ms": 1,
+        "service": "s1",
+        "address": "10.0.0.1",
+        "port": 80,
+        "availability_zone": "a",
+        "version": "v1",
+        "slots": 2,
+        "state": discovery.EndpointState.READY,
+    }
+    return discovery.EndpointEntry(**(fields | changes))
+
+
+def route(**changes: Any) -> routing.Route:
+    """Returns a plain route to service `s1`."""
+    fields = {
+        "name": "r1",
+        "host": "h.example",
+        "prefix": "/p/",
+        "idempotent": True,
+        "max_attempts": 2,
+        "timeout_ms": 1000.0,
+        "latency_goal_ms": 200.0,
+        "priority": 1,
+        "parts": (routing.SplitPart("s1", 1.0),),
+    }
+    return routing.Route(**(fields | changes))
+
+
+def search_route(shards: Sequence[str], **changes: Any) -> routing.Route:
+    """Returns a route that asks all shards."""
+    fields = {
+        "parts": (),
+        "shards": tuple(shards),
+        "top_k": 3,
+        "min_coverage": 0.5,
+    }
+    return route(**(fields | changes))
+
+
+def table(
+    routes: Sequence[routing.Route], version: int = 1, **limits: Any
+) -> routing.RouteTable:
+    """Returns a table in which every service has the same limits."""
+    services = {name for r in routes for name in r.services}
+    shared = routing.ServiceLimits(**({"max_connections": 20} | limits))
+    return routing.RouteTable(
+        version,
+        routes,
+        dict.fromkeys(services, shared),
+        routing.CallerLimits(),
+    )
+
+
+def caller_request(**changes: Any) -> forward.CallerRequest:
+    """Returns a request that was received just now."""
+    fields = {
+        "request_id": b"q1",
+        "method": b"GET",
+        "target": b"/p/x",
+        "host": "h.example",
+        "path": "/p/x",
+        "fields": [],
+        "body": b"",
+        "has_body": False,
+        "received_s": trio.current_time(),
+        "remaining_ms": 1000.0,
+    }
+    return forward.CallerRequest(**(fields | changes))
+
+
+def answer(body: bytes = b"", signature: bytes = b"sig") -> forward.Reply:
+    """Returns a proper answer of an endpoint."""
+    return forward.Reply(ANSWERED, "", 200, [], body, signature)
+
+
+@dataclasses.dataclass
+class Prepared:
+    """A request whose bytes tell nothing."""
+
+    request_id: bytes
+
+    def encode(self, endpoint_id: str, remaining_ms: float) -> bytes:
+        """Returns the endpoint and the time that is left."""
+        return f"{endpoint_id} {remaining_ms:.0f}".encode()
+
+
+class FakeDialect:
+    """Prepares requests; fake links never classify responses."""
+
+    def prepare(
+        self, request: forward.CallerRequest
+    ) -> forward.PreparedRequest:
+        """Returns a prepared request."""
+        return Prepared(request.request_id)
+
+    def classify(
+        self, response: dispatch.Response, request_id: bytes
+    ) -> forward.Reply | None:
+        """Is not called."""
+        raise AssertionError
+
+    def idle_limit_s(self, response: dispatch.Response) -> float | None:
+        """Is not called."""
+        raise AssertionError
+
+
+@dataclasses.dataclass
+class Behaviour:
+    """How an endpoint treats its calls.
+
+    Attributes:
+        delay_s: Time until the reply.
+        reply: The reply; None for silence.
+        connects: Connections succeed.
+    """
+
+    delay_s: float = 0.01
+    reply: forward.Reply | None = dataclasses.field(
+        default_factory=lambda: answer(signature=b"")
+    )
+    connects: bool = True
+
+
+class FakeLink:
+    """A link whose replies come from its endpoint's behaviour."""
+
+    def __init__(self, site: "FakeSite", endpoint_id: str) -> None:
+        self.call: forward.Call | None = None
+        self.closed = False
+        self._site = site
+        self._endpoint_id = endpoint_id
+        self._wake = trio.Event()
+
+    @property
+    def usable(self) -> bool:
+        """True if a call can be sent now."""
+        return not self.closed and self.call is None
+
+    def start(self, call: forward.Call, data: bytes) -> bool:
+        """Takes a call and notes it."""
+        self.call = call
+        call.sent = True
+        call.sent_s = trio.current_time()
+        self._site.sent.append((self._endpoint_id, call, data))
+        self._wake.set()
+        return True
+
+    def close(self) -> None:
+        """Closes the link."""
+        self.closed = True
+        self._wake.set()
+
+    async def run(self, owner: Any) -> None:
+        """Replies to each call after the endpoint's delay."""
+        while not self.closed:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            if self.call is not None and not self.closed:
+                await self._reply(owner)
+        call, self.call = self.call, None
+        if call is not None:
+            lost = forward.Reply(forward.Outcome.LOST, "closed")
+            owner.call_ended(call, lost)
+        owner.link_closed(self)
+
+    async def _reply(self, owner: Any) -> None:
+        behaviour = self._site.behaviour(self._endpoint_id)
+        with trio.move_on_after(behaviour.delay_s):
+            await self._wake.wait()
+            return
+        if behaviour.reply is None:
+            await self._wake.wait()
+            return
+        call, self.call = self.call, None
+        reply = behaviour.reply
+        if reply.outcome is ANSWERED and not reply.signature:
+            signature = self._endpoint_id.encode()
+            reply = dataclasses.replace(reply, signature=signature)
+        assert call is not None
+        owner.call_ended(call, reply)
+        owner.link_free(self)
+
+
+class FakeSite:
+    """Endpoints that behave as told; the links' factory."""
+
+    def __init__(self) -> None:
+        self.behaviours: dict[str, Behaviour] = {}
+        self.sent: list[tuple[str, forward.Call, bytes]] = []
+        self.connections = 0
+
+    def behaviour(self, endpoint_id: str) -> Behaviour:
+        """Returns the behaviour of an endpoint."""
+        return self.behaviours.setdefault(endpoint_id, Behaviour())
+
+    def sent_to(self) -> list[str]:
+        """Returns the endpoints of all calls, in order."""
+        return [endpoint_id for endpoint_id, _, _ in self.sent]
+
+    async def connect(self, entry: discovery.EndpointEntry) -> FakeLink:
+        """Opens a link."""
+        if not self.behaviour(entry.endpoint_id).connects:
+            raise ConnectionRefusedError("refused")
+        self.connections += 1
+        return FakeLink(self, entry.endpoint_id)
+
+
+class Edge:
+    """A forwarder over a fake site.
+
+    Args:
+        nursery: Runs the links.
+        entries: The endpoints.
+        routes: The routes.
+        budget: Limits of repeats.
+        limits: Limits of every service.
+        members: Nodes of the site besides this one.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        entries: Sequence[discovery.EndpointEntry],
+        routes: Sequence[routing.Route],
+        *,
+        budget: forward.BudgetLimits | None = None,
+        limits: dict[str, Any] | None = None,
+        members: Sequence[str] = (),
+    ) -> None:
+        self.site = FakeSite()
+        self.registry = discovery.EndpointRegistry(trio.current_time)
+        self.metrics = forward.ForwardMetrics()
+        self.pool = forward.EndpointPool(
+            forward.PoolSettings("n1", "a", 10.0),
+            self.registry,
+            self.site,
+            nursery,
+            self.metrics,
+            random.Random(1),
+        )
+        self.pool.adopt_table(table(routes, **(limits or {})))
+        self.pool.set_members(members)
+        for one in entries:
+            self.registry.put(one)
+        self.pool.refresh()
+        self.budget = forward.RetryBudget(
+            budget or forward.BudgetLimits(0.2, 10.0, 50.0), trio.current_time
+        )
+        self.forwarder = forward.Forwarder(
+            self.pool, self.budget, FakeDialect(), self.metrics
+        )
+        nursery.start_soon(self.forwarder.run)
+
+
+class FakeStore:
+    """A store in memory that fails on demand."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, tuple[bytes, int]] = {}
+        self.revision = 1
+        self.history: list[mirror.MirrorItem] = []
+        self.compacted = 0
+        self.down = False
+        self.reads = 0
+        self.watches = 0
+        self._changed = trio.Event()
+
+    def put(self, key: str, value: bytes) -> None:
+        """Writes a key."""
+        self.revision += 1
+        self.items[key] = (value, self.revision)
+        self._note(mirror.MirrorItem(key, value, self.revision))
+
+    def remove(self, key: str) -> None:
+        """Deletes a key."""
+        self.revision += 1
+        del self.items[key]
+        self._note(mirror.MirrorItem(key, None, self.revision))
+
+    def compact(self) -> None:
+        """Forgets the history."""
+        self.history.clear()
+        self.compacted = self.revision
+
+    async def read_all(
+        self,
+    ) -> result.Result[
+        tuple[Sequence[mirror.MirrorItem], int], store.StoreFailure
+    ]:
+        """Returns all items."""
+        self.reads += 1
+        if self.down:
+            return result.Err(store.StoreFailure(store.Effect.NONE, "down"))
+        rows = [mirror.MirrorItem(k, *v) for k, v in self.items.items()]
+        return result.Ok((rows, self.revision))
+
+    async def changes(
+        self, after: int, wait_ms: int
+    ) -> result.Result[
+        tuple[Sequence[mirror.MirrorItem], int], store.StoreFailure
+    ]:
+        """Waits for changes."""
+        self.watches += 1
+        if self.down:
+            return result.Err(store.StoreFailure(store.Effect.NONE, "down"))
+        if after < self.compacted:
+            raise store.WatchCompacted(after)
+        with trio.move_on_after(wait_ms / 1000):
+            while self.revision <= after:
+                await self._changed.wait()
+        rows = [i for i in self.history if i.revision > after]
+        return result.Ok((rows, self.revision))
+
+    def _note(self, item: mirror.MirrorItem) -> None:
+        self.history.append(item)
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+class FakeNetwork:
+    """Delivers messages between nodes of one test at once."""
+
+    def __init__(self, node_id: str, nodes: "dict[str, FakeNetwork]") -> None:
+        self.node_id = node_id
+        self.handlers: dict[type, Callable[..., Any]] = {}
+        self.calls = 0
+        self.cut = False
+        self._nodes = nodes
+        nodes[node_id] = self
+
+    def connected(self) -> frozenset[str]:
+        """Returns the other nodes that are not cut off."""
+        if self.cut:
+            return frozenset()
+        return frozenset(
+            n
+            for n, other in self._nodes.items()
+            if n != self.node_id and not other.cut
+        )
+
+    def register(self, message_type: type, handler: Any) -> None:
+        """Sets the handler of a message type."""
+        self.handlers[message_type] = handler
+
+    def send(self, node_id: str, message: Any) -> bool:
+        """Delivers a one-way message."""
+        if node_id not in self.connected():
+            return False
+        handler = self._nodes[node_id].handlers[type(message)]
+        trio.lowlevel.spawn_system_task(handler, self.node_id, message)
+        return True
+
+    async def call(self, node_id: str, request: Any, timeout_ms: float) -> Any:
+        """Delivers a request and returns the reply."""
+        self.calls += 1
+        if node_id not in self.connected():
+            return result.Err("cut")
+        handler = self._nodes[node_id].handlers[type(request)]
+        return result.Ok(await handler(self.node_id, request))
+
+
+def server_value(**changes: Any) -> bytes:
+    """Returns a registration as an endpoint writes it."""
+    fields = {
+        "Service": "s1",
+        "Address": "10.0.0.1:80",
+        "Zone": "a",
+        "Version": "v1",
+        "Slots": 2,
+        "State": "ready",
+        "WarmupLeftMs": 0,
+        "Seq": 4,
+        "born": 17,
+    }
+    return json.dumps(fields | changes).encode()
+
+
+def response(
+    status: int = 200, body: bytes = b"", **headers: str
+) -> dispatch.Response:
+    """Returns a response; underscores in header names become dashes."""
+    fields = [
+        (name.replace("_", "-").encode(), value.encode())
+        for name, value in headers.items()
+    ]
+    return dispatch.Response(status, fields, body)
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,55 @@
+"""Tests of the registry of endpoints."""
+
+import unittest
+
+from geraniumstair import discovery
+from tests import builders_edge as builders
+
+LAPSED = discovery.EndpointState.LAPSED
+
+
+class EndpointRegistryTest(unittest.TestCase):
+    """Guards against using endpoints that are gone, or losing live ones."""
+
+    def setUp(self) -> None:
+        self.now_s = 0.0
+        self.registry = discovery.EndpointRegistry(lambda: self.now_s)
+        self.registry.put(builders.entry("e1"))
+
+    def test_a_lapsed_entry_that_returns_was_never_gone(self) -> None:
+        self.registry.lapse("e1")
+        self.assertIs(self.registry.get("e1").state, LAPSED)
+        self.now_s = 2.0
+        self.assertEqual(list(self.registry.expire()), [])
+        self.registry.put(builders.entry("e1"))
+        self.now_s = 9.0
+        self.assertEqual(list(self.registry.expire()), [])
+        self.assertIs(
+            self.registry.get("e1").state, discovery.EndpointState.READY
+        )
+
+    def test_a_lapsed_entry_is_gone_before_its_endpoint_may_stop(self) -> None:
+        self.registry.lapse("e1")
+        # A removed endpoint goes on serving for three seconds.
+        self.now_s = 2.9
+        self.assertEqual(
+            [e.endpoint_id for e in self.registry.expire()], ["e1"]
+        )
+        self.assertIsNone(self.registry.get("e1"))
+
+    def test_a_draining_endpoint_is_gone_with_its_entry(self) -> None:
+        draining = discovery.EndpointState.DRAINING
+        self.registry.put(builders.entry("e1", state=draining))
+        self.registry.lapse("e1")
+        self.assertIsNone(self.registry.get("e1"))
+
+    def test_the_same_entry_again_changes_nothing(self) -> None:
+        generation = self.registry.generation
+        self.registry.put(builders.entry("e1"))
+        self.registry.lapse("unknown")
+        self.assertEqual(self.registry.generation, generation)
+
+    def test_another_start_is_another_lifetime(self) -> None:
+        first = builders.entry("e1", started_ms=1)
+        second = builders.entry("e1", started_ms=2)
+        self.assertNotEqual(first.lifetime, second.lifetime)
--- /dev/null
+++ b/tests/test_forward.py
@@ -0,0 +1,378 @@
+"""Tests of the forwarder's decisions, on a virtual clock without network."""
+
+import unittest
+
+import trio
+import trio.testing
+
+from geraniumstair import discovery
+from geraniumstair import forward
+from tests import builders_edge as builders
+
+
+def _run(test) -> None:
+    async def bounded() -> None:
+        with trio.fail_after(600):
+            async with trio.open_nursery() as nursery:
+                await test(nursery)
+                nursery.cancel_scope.cancel()
+
+    trio.run(bounded, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def _replicas(shards: int) -> list[discovery.EndpointEntry]:
+    """Returns two endpoints for each shard, in availability zones a and b."""
+    return [
+        builders.entry(f"{zone}{i}", service=f"s{i}", availability_zone=zone)
+        for i in range(shards)
+        for zone in ("a", "b")
+    ]
+
+
+def _names(shards: int) -> list[str]:
+    return [f"s{i}" for i in range(shards)]
+
+
+class GreatestRecordsTest(unittest.TestCase):
+    """Guards against records that are lost, doubled or cut in a merge."""
+
+    def test_equal_records_all_count_and_a_remainder_is_none(self) -> None:
+        low, high = b"a" * 16, b"z" * 16
+        merged = forward.greatest_records(
+            [low + high, high + low + b"zzz", b"zz"], 3
+        )
+        self.assertEqual(merged, high + high + low)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Guards against repeats beyond what the site allows in a window."""
+
+    def test_uneven_nodes_together_stay_within_the_limits(self) -> None:
+        now_s = 0.0
+        limits = forward.BudgetLimits(ratio=0.2, window_s=10.0, slack=54.0)
+        budgets = [forward.RetryBudget(limits, lambda: now_s) for _ in range(7)]
+        for budget in budgets:
+            budget.set_nodes(7)
+        taken: list[float] = []
+        asked: list[float] = []
+        for tick in range(4000):
+            now_s = tick / 100
+            # The first node has most of the callers and repeats each call.
+            for index, budget in enumerate(budgets):
+                if index == 0 or tick % (20 * index) == 0:
+                    budget.earn("s")
+                    asked.append(now_s)
+                    if budget.take("s"):
+                        taken.append(now_s)
+        for end in range(10, 41):
+            window = [t for t in taken if end - 10 < t <= end]
+            requests = [t for t in asked if end - 10 < t <= end]
+            allowed = limits.ratio * len(requests) + limits.slack
+            self.assertLessEqual(len(window), allowed)
+            # What is allowed is also used.
+            self.assertGreater(len(window), 0.5 * limits.ratio * len(requests))
+
+
+class SearchTest(unittest.TestCase):
+    """Guards against false, late or needlessly incomplete answers."""
+
+    def test_all_parts_are_merged(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.search_route(_names(4))
+            edge = builders.Edge(nursery, _replicas(4), [route])
+            for i in range(4):
+                behaviour = edge.site.behaviour(f"a{i}")
+                behaviour.reply = builders.answer(
+                    b"%d" % i * 16, signature=b"p%d" % i
+                )
+            outcome = await edge.forwarder.forward(
+                builders.caller_request(), route
+            )
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(
+                sorted(outcome.signatures), [b"p0", b"p1", b"p2", b"p3"]
+            )
+            self.assertEqual(outcome.missing, 0)
+            self.assertEqual(outcome.records, b"3" * 16 + b"2" * 16 + b"1" * 16)
+
+        _run(test)
+
+    def test_a_silent_endpoint_is_bypassed_within_the_goal(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.search_route(_names(4), min_coverage=1.0)
+            edge = builders.Edge(nursery, _replicas(4), [route])
+            edge.site.behaviour("a2").reply = None
+            started_s = trio.current_time()
+            outcome = await edge.forwarder.forward(
+                builders.caller_request(), route
+            )
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(outcome.missing, 0)
+            self.assertIn(b"b2", outcome.signatures)
+            self.assertLess(trio.current_time() - started_s, 0.2)
+
+        _run(test)
+
+    def test_an_incomplete_answer_is_sent_at_the_goal_and_says_so(
+        self,
+    ) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.search_route(_names(4), min_coverage=0.75)
+            edge = builders.Edge(nursery, _replicas(4), [route])
+            for name in ("a1", "b1"):
+                edge.site.behaviour(name).reply = None
+            started_s = trio.current_time()
+            outcome = await edge.forwarder.forward(
+                builders.caller_request(), route
+            )
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(outcome.missing, 1)
+            self.assertEqual(len(outcome.signatures), 3)
+            self.assertLess(trio.current_time() - started_s, 0.2)
+
+        _run(test)
+
+    def test_a_search_that_cannot_be_served_is_refused_at_once(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.search_route(_names(4), min_coverage=0.75)
+            edge = builders.Edge(nursery, _replicas(2), [route])
+            started_s = trio.current_time()
+            outcome = await edge.forwarder.forward(
+                builders.caller_request(), route
+            )
+            assert isinstance(outcome, forward.Refused)
+            self.assertTrue(outcome.not_run)
+            self.assertIsNotNone(outcome.retry_after_s)
+            self.assertEqual(trio.current_time(), started_s)
+            self.assertEqual(edge.site.sent, [])
+
+        _run(test)
+
+    def test_a_shard_runs_on_no_more_endpoints_than_allowed(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.search_route(["s0"], max_attempts=2)
+            entries = [builders.entry(name, service="s0") for name in "vwxyz"]
+            edge = builders.Edge(nursery, entries, [route])
+            for name in "vwxyz":
+                edge.site.behaviour(name).reply = forward.Reply(
+                    forward.Outcome.FAILED, "", 500
+                )
+            outcome = await edge.forwarder.forward(
+                builders.caller_request(), route
+            )
+            assert isinstance(outcome, forward.Refused)
+            self.assertFalse(outcome.not_run)
+            self.assertEqual(len(edge.site.sent), 2)
+
+        _run(test)
+
+    def test_without_budget_nothing_is_repeated(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.search_route(_names(2), min_coverage=0.5)
+            edge = builders.Edge(
+                nursery,
+                _replicas(2),
+                [route],
+                budget=forward.BudgetLimits(0.0, 10.0, 0.0),
+            )
+            edge.budget.take("s1")
+            edge.site.behaviour("a1").reply = None
+            outcome = await edge.forwarder.forward(
+                builders.caller_request(), route
+            )
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(outcome.missing, 1)
+            self.assertNotIn("b1", edge.site.sent_to())
+
+        _run(test)
+
+    def test_calls_of_a_caller_that_has_gone_are_ended(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.search_route(["s0"])
+            edge = builders.Edge(nursery, _replicas(1), [route])
+            for name in ("a0", "b0"):
+                edge.site.behaviour(name).delay_s = 5.0
+            with trio.move_on_after(0.1):
+                await edge.forwarder.forward(builders.caller_request(), route)
+            # The endpoints' work has to end within half a second.
+            await trio.sleep(0.5)
+            self.assertTrue(edge.site.sent)
+            self.assertEqual([r.load for r in edge.pool.replicas()], [0, 0])
+
+        _run(test)
+
+
+class SingleTest(unittest.TestCase):
+    """Guards against requests that run twice, or refusals that are false."""
+
+    def _forward(self, behaviours, **changes):
+        outcomes = []
+
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.route(**changes)
+            entries = [builders.entry(name) for name in behaviours]
+            edge = builders.Edge(nursery, entries, [route])
+            edge.site.behaviours.update(behaviours)
+            outcomes.append(
+                await edge.forwarder.forward(builders.caller_request(), route)
+            )
+            await trio.sleep(1)
+            outcomes.append(edge.site.sent_to())
+
+        _run(test)
+        return outcomes
+
+    def test_a_lost_answer_is_not_asked_for_again(self) -> None:
+        lost = forward.Reply(forward.Outcome.LOST, "reset")
+        outcome, sent = self._forward(
+            {n: builders.Behaviour(reply=lost) for n in "xy"},
+            idempotent=False,
+        )
+        assert isinstance(outcome, forward.Refused)
+        self.assertFalse(outcome.not_run)
+        self.assertEqual(len(sent), 1)
+
+    def test_an_idempotent_request_is_repeated_elsewhere(self) -> None:
+        lost = forward.Reply(forward.Outcome.LOST, "reset")
+        outcome, sent = self._forward(
+            {"x": builders.Behaviour(reply=lost), "y": builders.Behaviour()}
+        )
+        self.assertIsInstance(outcome, forward.SingleResult)
+        self.assertEqual(sent[-1], "y")
+
+    def test_a_rejected_request_goes_to_another_endpoint(self) -> None:
+        rejected = forward.Reply(forward.Outcome.REJECTED, "full", 503)
+        outcome, sent = self._forward(
+            {
+                "x": builders.Behaviour(reply=rejected),
+                "y": builders.Behaviour(),
+            },
+            idempotent=False,
+        )
+        self.assertIsInstance(outcome, forward.SingleResult)
+        self.assertEqual(sent[-1], "y")
+
+    def test_a_request_that_no_endpoint_took_has_not_run(self) -> None:
+        outcome, sent = self._forward(
+            {n: builders.Behaviour(connects=False) for n in "xy"},
+            idempotent=False,
+        )
+        assert isinstance(outcome, forward.Refused)
+        self.assertTrue(outcome.not_run)
+        self.assertEqual(sent, [])
+
+    def test_a_failure_of_the_endpoint_is_passed_on(self) -> None:
+        failed = forward.Reply(forward.Outcome.FAILED, "", 500, [], b"f", b"s")
+        outcome, sent = self._forward(
+            {n: builders.Behaviour(reply=failed) for n in "xy"},
+            idempotent=False,
+        )
+        self.assertEqual(outcome, forward.SingleResult(failed))
+        self.assertEqual(len(sent), 1)
+
+    def test_silence_ends_at_the_time_limit_and_promises_nothing(self) -> None:
+        outcome, sent = self._forward(
+            {"x": builders.Behaviour(reply=None)}, idempotent=False
+        )
+        assert isinstance(outcome, forward.Refused)
+        self.assertIs(outcome.reason, forward.RefusalReason.TIMEOUT)
+        self.assertFalse(outcome.not_run)
+        self.assertEqual(len(sent), 1)
+
+
+class EndpointPoolTest(unittest.TestCase):
+    """Guards against calls to endpoints that must not get any."""
+
+    def test_draining_endpoints_and_zones_out_get_nothing(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            draining = discovery.EndpointState.DRAINING
+            entries = [
+                builders.entry("x", state=draining),
+                builders.entry("y", availability_zone="b"),
+            ]
+            edge = builders.Edge(nursery, entries, [builders.route()])
+            self.assertEqual(edge.pool.choose("s1", ()).entry.endpoint_id, "y")
+            edge.pool.set_zones_out(frozenset("b"))
+            self.assertIsNone(edge.pool.choose("s1", ()))
+            self.assertFalse(edge.pool.usable("s1"))
+
+        _run(test)
+
+    def test_the_own_zone_is_preferred_until_it_is_busier(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            entries = [
+                builders.entry("x"),
+                builders.entry("y", availability_zone="b"),
+            ]
+            route = builders.route()
+            edge = builders.Edge(nursery, entries, [route])
+            for name in "xy":
+                edge.site.behaviour(name).delay_s = 0.1
+            for _ in range(4):
+                nursery.start_soon(
+                    edge.forwarder.forward, builders.caller_request(), route
+                )
+                await trio.sleep(0.001)
+            self.assertEqual(edge.site.sent_to()[0], "x")
+            self.assertIn("y", edge.site.sent_to())
+
+        _run(test)
+
+    def test_all_nodes_together_spare_a_cold_endpoint(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            members = [f"n{i}" for i in range(1, 41)]
+            sent = 0
+            for member in members:
+                edge = builders.Edge(
+                    nursery,
+                    [builders.entry("x", warmup_left_ms=9000.0)],
+                    [builders.route()],
+                    limits={"warmup_per_s": 10.0, "warmup_s": 9.0},
+                    members=members,
+                )
+                edge.pool._settings = forward.PoolSettings(member, "a", 1.0)
+                sent += sum(
+                    edge.pool.choose("s1", ()) is not None for _ in range(50)
+                )
+            self.assertGreater(sent, 0)
+            self.assertLessEqual(sent, 10 * 1.5 + 5)
+
+        _run(test)
+
+    def test_connections_of_all_nodes_fit_the_endpoint(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            members = [f"n{i}" for i in range(1, 81)]
+            entries = [builders.entry(f"e{i}") for i in range(4)]
+            used: dict[str, int] = {}
+            for member in members:
+                edge = builders.Edge(
+                    nursery,
+                    entries,
+                    [builders.route()],
+                    limits={"max_connections": 50},
+                    members=members,
+                )
+                edge.pool._settings = forward.PoolSettings(member, "a", 1.0)
+                edge.pool.refresh()
+                for replica in edge.pool._by_service["s1"]:
+                    name = replica.entry.endpoint_id
+                    used[name] = used.get(name, 0) + replica.max_links
+            self.assertLessEqual(max(used.values()), 50)
+
+        _run(test)
+
+    def test_a_removed_endpoint_gets_no_more_calls(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            edge = builders.Edge(
+                nursery, [builders.entry("x")], [builders.route()]
+            )
+            replica = edge.pool.choose("s1", ())
+            edge.registry.lapse("x")
+            await trio.sleep(3)
+            list(edge.registry.expire())
+            edge.pool.refresh()
+            self.assertIsNone(edge.pool.choose("s1", ()))
+            await trio.sleep(0.1)
+            self.assertEqual(replica.links, 0)
+
+        _run(test)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,382 @@
+"""Tests of the translation between the platform's words and the product's."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+import result
+import trio
+import trio.testing
+
+from geraniumstair import discovery
+from geraniumstair import edge
+from geraniumstair import errors
+from geraniumstair import forward
+from geraniumstair import mirror
+from geraniumstair import peers
+from geraniumstair import store
+from geraniumstair.platform import _decoder
+from geraniumstair.platform import _http
+from geraniumstair.platform import _settings
+from geraniumstair.platform import _store
+from tests import builders_edge as builders
+
+_CONFIG = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r1",
+            "Host": "P.example",
+            "Prefix": "/a/",
+            "RouteType": "idempotent",
+            "TimeoutMs": 600,
+            "LatencyGoalMs": 71,
+            "Priority": 2,
+            "FanoutServices": ["x", "y"],
+            "MaxAttempts": 2,
+            "TopK": 5,
+            "MinShardRatio": 0.75,
+        },
+        {
+            "Name": "r2",
+            "Host": "p.example",
+            "Prefix": "/b/",
+            "RouteType": "non_idempotent",
+            "TimeoutMs": 6000,
+            "LatencyGoalMs": 656,
+            "WeightedSplit": [
+                {"Service": "u", "Weight": 3},
+                {"Service": "v", "Weight": 1},
+            ],
+        },
+    ],
+    "Services": [{"Name": "x", "MaxConns": 26, "WarmupS": 3.0}],
+    "Limits": {"MaxBodyBytes": 100},
+}
+
+
+def _decode(key: str, value: bytes | None) -> edge.StateChange | None:
+    item = mirror.MirrorItem(key, value, 1)
+    return _decoder.PlatformDecoder().decode(item)
+
+
+class PlatformDecoderTest(unittest.TestCase):
+    """Guards against entries that are misread, or that harm the others."""
+
+    def test_the_configuration_becomes_a_route_table(self) -> None:
+        change = _decode("op/config", json.dumps(_CONFIG).encode())
+        assert isinstance(change, edge.RoutesChanged)
+        table = change.table
+        self.assertEqual(table.version, 7)
+        search = table.match("p.example", "/a/z")
+        self.assertEqual(search.shards, ("x", "y"))
+        self.assertTrue(search.idempotent)
+        single = table.match("p.example", "/b/z")
+        self.assertFalse(single.idempotent)
+        self.assertEqual([p.service for p in single.parts], ["u", "v"])
+        self.assertEqual(table.service_limits("x").max_connections, 26)
+        self.assertEqual(table.limits.max_body_bytes, 100)
+
+    def test_a_configuration_that_cannot_be_read_changes_nothing(self) -> None:
+        for value in (b"\xff", b"{}", b"[]", b'{"Version":"7"}', None):
+            with self.subTest(value=value):
+                with self.assertLogs("geraniumstair.platform"):
+                    self.assertIsNone(_decode("op/config", value))
+
+    def test_a_registration_becomes_an_endpoint(self) -> None:
+        change = _decode("servers/i-1", builders.server_value(State="draining"))
+        assert isinstance(change, edge.EndpointChanged)
+        entry = change.entry
+        self.assertEqual(entry.endpoint_id, "i-1")
+        self.assertEqual((entry.address, entry.port), ("10.0.0.1", 80))
+        self.assertIs(entry.state, discovery.EndpointState.DRAINING)
+        self.assertEqual(entry.started_ms, 17)
+
+    def test_entries_of_other_writers_name_no_endpoint(self) -> None:
+        values = [
+            b"\x00\x01",
+            b"null",
+            b"{}",
+            builders.server_value(State="resting"),
+            builders.server_value(State=3),
+            builders.server_value(Address="10.0.0.1"),
+            builders.server_value(Address="10.0.0.1:x"),
+            builders.server_value(Address="10.0.0.1:70000"),
+            builders.server_value(Service=""),
+            builders.server_value(Slots="2"),
+            builders.server_value(born=1.5),
+        ]
+        for value in values:
+            with self.subTest(value=value):
+                with self.assertLogs("geraniumstair.platform"):
+                    change = _decode("servers/i-1", value)
+                self.assertEqual(change, edge.EndpointGone("i-1"))
+
+    def test_an_availability_zone_is_out_while_its_order_stands(self) -> None:
+        self.assertEqual(
+            _decode("op/evacuate/z1", b"{}"), edge.ZoneChanged("z1", True)
+        )
+        self.assertEqual(
+            _decode("op/evacuate/z1", None), edge.ZoneChanged("z1", False)
+        )
+
+    def test_other_keys_mean_nothing(self) -> None:
+        self.assertIsNone(_decode("geraniumstair/nodes/n1", b"{}"))
+
+
+class PlatformDialectTest(unittest.TestCase):
+    """Guards against answers of the wrong request, and false promises."""
+
+    def _classify(self, response) -> forward.Reply | None:
+        return _http.PlatformDialect().classify(response, b"q1")
+
+    def test_an_answer_needs_a_signature(self) -> None:
+        signed = builders.response(x_response_stamp="s", x_attempt_id="q1")
+        self.assertIs(self._classify(signed).outcome, forward.Outcome.ANSWERED)
+        self.assertIs(
+            self._classify(builders.response()).outcome, forward.Outcome.LOST
+        )
+
+    def test_an_answer_to_another_request_is_set_aside(self) -> None:
+        late = builders.response(x_response_stamp="s", x_attempt_id="q0")
+        self.assertIsNone(self._classify(late))
+
+    def test_only_the_endpoint_can_say_that_it_did_not_run(self) -> None:
+        refused = builders.response(503, x_not_executed="1")
+        self.assertTrue(self._classify(refused).outcome.not_run)
+        misdirected = builders.response(421, x_instance_id="i-2")
+        self.assertTrue(self._classify(misdirected).outcome.not_run)
+        unsaid = builders.response(503, x_response_stamp="s")
+        self.assertFalse(self._classify(unsaid).outcome.not_run)
+
+    def test_an_encoded_body_is_no_answer(self) -> None:
+        encoded = builders.response(
+            x_response_stamp="s", content_encoding="gzip"
+        )
+        self.assertIs(self._classify(encoded).outcome, forward.Outcome.LOST)
+
+    def test_the_idle_time_is_read(self) -> None:
+        dialect = _http.PlatformDialect()
+        told = builders.response(keep_alive="timeout=5, max=100")
+        self.assertEqual(dialect.idle_limit_s(told), 5.0)
+        self.assertIsNone(dialect.idle_limit_s(builders.response()))
+        odd = builders.response(keep_alive="timeout=x")
+        self.assertIsNone(dialect.idle_limit_s(odd))
+
+
+class PlatformCodecTest(unittest.TestCase):
+    """Guards against changed requests and misleading statuses."""
+
+    def _head(self, *fields: tuple[bytes, bytes]) -> edge.RequestHead:
+        return edge.RequestHead(
+            method=b"POST",
+            target=b"/a/b%2F?c=d",
+            path="/a/b%2F",
+            fields=[(b"host", b"p.example"), *fields],
+            received_s=0.0,
+        )
+
+    def test_a_request_reaches_the_endpoint_unchanged(self) -> None:
+        head = self._head(
+            (b"x-attempt-id", b"q1"),
+            (b"x-time-remaining", b"600"),
+            (b"connection", b"keep-alive, x-hop"),
+            (b"x-hop", b"1"),
+            (b"x-expected-instance", b"forged"),
+            (b"x-other", b"2"),
+        )
+        parsed = _http.PlatformCodec().parse(head, b"body").ok_value
+        sent = _http.PlatformDialect().prepare(parsed).encode("i-1", 512.9)
+        head_bytes, _, body = sent.partition(b"\r\n\r\n")
+        lines = head_bytes.split(b"\r\n")
+        self.assertEqual(lines[0], b"POST /a/b%2F?c=d HTTP/1.1")
+        self.assertEqual(
+            sorted(lines[1:]),
+            [
+                b"content-length: 4",
+                b"host: p.example",
+                b"x-attempt-id: q1",
+                b"x-expected-instance: i-1",
+                b"x-other: 2",
+                b"x-time-remaining: 512",
+            ],
+        )
+        self.assertEqual(body, b"body")
+
+    def test_bad_headers_get_an_error(self) -> None:
+        codec = _http.PlatformCodec()
+        request_id = (b"x-attempt-id", b"q1")
+        for fields in (
+            [],
+            [request_id, (b"x-time-remaining", b"soon")],
+            [request_id, (b"x-time-remaining", b"nan")],
+            [request_id, (b"x-time-remaining", b"-1")],
+        ):
+            with self.subTest(fields=fields):
+                parsed = codec.parse(self._head(*fields), None)
+                self.assertIsInstance(parsed, result.Err)
+
+    def test_only_a_request_that_has_not_run_gets_503(self) -> None:
+        codec = _http.PlatformCodec()
+        for reason in forward.RefusalReason:
+            for not_run in (True, False):
+                refused = forward.Refused(reason, not_run, 0.25, "why")
+                answer = codec.render(refused)
+                with self.subTest(reason=reason, not_run=not_run):
+                    if reason is forward.RefusalReason.NO_ROUTE:
+                        self.assertEqual(answer.status, 404)
+                        continue
+                    self.assertEqual(answer.status == 503, not_run)
+                    told = dict(answer.fields).get(b"retry-after")
+                    self.assertEqual(told, b"0.250" if not_run else None)
+
+    def test_a_search_names_its_parts(self) -> None:
+        found = forward.SearchResult([b"s1", b"s2"], 1, b"r" * 16)
+        answer = _http.PlatformCodec().render(found)
+        fields = dict(answer.fields)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(fields[b"x-part-stamps"], b"s1, s2")
+        self.assertEqual(fields[b"x-parts-missing"], b"1")
+        self.assertEqual(answer.body, b"r" * 16)
+
+    def test_an_endpoints_answer_is_passed_on(self) -> None:
+        reply = forward.Reply(
+            forward.Outcome.FAILED,
+            "",
+            500,
+            [(b"X-Response-Stamp", b"s"), (b"Transfer-Encoding", b"chunked")],
+            b"oops",
+            b"s",
+        )
+        answer = _http.PlatformCodec().render(forward.SingleResult(reply))
+        self.assertEqual(answer.status, 500)
+        self.assertEqual(answer.fields, [(b"X-Response-Stamp", b"s")])
+        self.assertEqual(answer.body, b"oops")
+
+
+class SettingsTest(unittest.TestCase):
+    """Guards against a node that starts with settings it cannot use."""
+
+    def _load(self, **changes: object) -> edge.EdgeSettings:
+        fields = {
+            "NodeName": "n1",
+            "Zone": "z1",
+            "Listen": {
+                "Front": "10.0.0.1:1",
+                "Ready": "10.0.0.1:2",
+                "Control": "10.0.0.1:3",
+            },
+            "InternalPorts": [7380, 7395],
+            "Seeds": ["10.0.0.2:3"],
+            "Bounds": {"GraceS": 6, "BudgetSlack": 54},
+            "platform": {"Address": "10.9.0.1:8102"},
+            "Unknown": 1,
+        }
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "node.json"
+            path.write_text(json.dumps(fields | changes))
+            loaded = _settings.load_settings(str(path))
+        return _settings.edge_settings(loaded)
+
+    def test_fields_are_translated_and_unknown_ones_ignored(self) -> None:
+        settings = self._load()
+        self.assertEqual(settings.node_id, "n1")
+        self.assertEqual(settings.callers, peers.PeerAddress("10.0.0.1", 1))
+        self.assertEqual(settings.metrics.port, 7395)
+        self.assertEqual(settings.budget.slack, 54.0)
+
+    def test_unusable_settings_are_named(self) -> None:
+        for changes in (
+            {"NodeName": ""},
+            {"Seeds": ["10.0.0.2"]},
+            {"InternalPorts": []},
+            {"platform": None},
+        ):
+            with self.subTest(changes=changes):
+                with self.assertRaises(errors.SettingsError):
+                    self._load(**changes)
+        with self.assertRaises(errors.SettingsError):
+            _settings.load_settings("/nonexistent")
+
+
+class _Replies:
+    """Stands in for the connection; replies come from a list."""
+
+    def __init__(self, *replies: object) -> None:
+        self.replies = list(replies)
+        self.calls: list[tuple[str, str, bytes]] = []
+
+    async def call(
+        self, kind: str, path: str, body: bytes, **options: object
+    ) -> object:
+        """Notes the call and returns the next reply."""
+        self.calls.append((str(options.get("method", "POST")), path, body))
+        reply = self.replies.pop(0)
+        if isinstance(reply, int):
+            return result.Err(
+                store.CallFailure(store.Effect.NONE, f"{reply}", reply)
+            )
+        return result.Ok(json.dumps(reply).encode())
+
+
+class PlatformStoreTest(unittest.TestCase):
+    """Guards against answers of the store that are misunderstood."""
+
+    def _store(self, *replies: object) -> _store.PlatformStore:
+        tested = _store.PlatformStore("10.0.0.1:1", store.StoreMetrics())
+        self.replies = _Replies(*replies)
+        tested._connection = self.replies
+        return tested
+
+    def test_pages_are_read_to_the_end_at_the_first_revision(self) -> None:
+        first = {"Key": "a", "Value": "MQ==", "Revision": 3, "Created": 3}
+        second = {"Key": "b", "Value": "Mg==", "Revision": 9, "Created": 9}
+        tested = self._store(
+            {"items": [first], "HasMore": True, "StoreRevision": 5},
+            {"items": [second], "HasMore": False, "StoreRevision": 9},
+        )
+        items, position = trio.run(tested.read_all).ok_value
+        self.assertEqual(position, 5)
+        self.assertEqual([i.value for i in items], [b"1", b"2"])
+        self.assertIn("after=a", self.replies.calls[1][1])
+
+    def test_a_lost_history_is_reported(self) -> None:
+        tested = self._store(410)
+        with self.assertRaises(store.WatchCompacted):
+            trio.run(tested.changes, 5, 1000)
+
+    def test_deletions_are_told_from_values(self) -> None:
+        tested = self._store(
+            {
+                "events": [
+                    {"Key": "a", "Value": "", "Revision": 6, "Created": 6},
+                    {"Key": "b", "Revision": 7, "Deleted": True},
+                ],
+                "StoreRevision": 7,
+            }
+        )
+        items, position = trio.run(tested.changes, 5, 1000).ok_value
+        self.assertEqual([i.value for i in items], [b"", None])
+        self.assertEqual(position, 7)
+
+    def test_a_failed_condition_is_no_failure_of_the_store(self) -> None:
+        tested = self._store(412)
+        compare = store.Compare("k", store.CompareTarget.MOD_REVISION, 3)
+        outcome = trio.run(
+            tested.commit,
+            store.Transaction([compare], [store.Put("k", b"v")]),
+        )
+        self.assertFalse(outcome.ok_value.committed)
+        sent = json.loads(self.replies.calls[0][2])
+        self.assertEqual(sent["ExpectedRev"], [{"Key": "k", "Revision": 3}])
+
+    def test_an_ended_lease_and_a_missing_key_are_told(self) -> None:
+        tested = self._store(404, 404)
+        self.assertEqual(trio.run(tested.keep_alive, 4), result.Ok(False))
+        self.assertEqual(trio.run(tested.get, "k"), result.Ok(None))
+
+    def test_an_answer_that_cannot_be_read_is_a_failure(self) -> None:
+        tested = self._store({"odd": 1})
+        outcome = trio.run(tested.grant_lease, 5)
+        self.assertIs(outcome.err_value.effect, store.Effect.UNKNOWN)
