Ask groups of shards through a node beside their endpoints

Each part that crosses zones takes about 640 bytes on the wire, and a node finds endpoints of a third of the shards in other zones only.

A node asks one node of the zone that covers most of these shards for their merged parts. Endpoints of the own zone are preferred by 60 ms instead of 12. If the other node fails, the shards are asked from here as repeats.

Ruled out: delegating whole searches.

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -667,6 +667,99 @@
     """
 
 
+class PartsRequest(Message):
+    """
+    Asks a node near the endpoints of some shards for their merged parts.
+    """
+
+    parts_id: Annotated[
+        int, Meta(description="Unique among the sender's requests for parts.")
+    ]
+    """
+    Unique among the sender's requests for parts.
+    """
+    version: Annotated[
+        int, Meta(description="Version of the routes that the sender has in force.")
+    ]
+    """
+    Version of the routes that the sender has in force.
+    """
+    shards: Annotated[list[str], Meta(description="Services of the shards.")]
+    """
+    Services of the shards.
+    """
+    least: Annotated[int, Meta(description="Parts with which a late answer is sent.")]
+    """
+    Parts with which a late answer is sent.
+    """
+    elapsed_ms: Annotated[
+        float, Meta(description="Time since the caller's request was received.")
+    ]
+    """
+    Time since the caller's request was received.
+    """
+    remaining_ms: Annotated[
+        float,
+        Meta(
+            description="How long the caller will wait from now on; negative if unknown."
+        ),
+    ]
+    """
+    How long the caller will wait from now on; negative if unknown.
+    """
+    request_id: bytes
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    fields: list[list[bytes]]
+    body: bytes
+    has_body: bool
+
+
+class PartsEnd(Message):
+    """
+    The sender does not need the parts any more.
+    """
+
+    parts_id: int
+
+
+class PartsReply(Message):
+    """
+    Merged parts of some shards.
+    """
+
+    declined: Annotated[
+        str, Meta(description="Why there are no parts; empty if there are.")
+    ]
+    """
+    Why there are no parts; empty if there are.
+    """
+    ran: Annotated[bool, Meta(description="The node may have called the shards.")]
+    """
+    The node may have called the shards.
+    """
+    answered: Annotated[
+        list[int], Meta(description="Positions of the answered shards in the request.")
+    ]
+    """
+    Positions of the answered shards in the request.
+    """
+    signatures: Annotated[
+        list[bytes], Meta(description="Marks of the parts, in the same order.")
+    ]
+    """
+    Marks of the parts, in the same order.
+    """
+    records: Annotated[
+        bytes, Meta(description="The greatest records of the parts, greatest first.")
+    ]
+    """
+    The greatest records of the parts, greatest first.
+    """
+
+
 class SnapshotQuery(Message):
     """
     Asks an owner for the snapshots that its shards can serve.
--- a/src/geraniumstair/edge/__init__.py
+++ b/src/geraniumstair/edge/__init__.py
@@ -9,6 +9,7 @@
 from geraniumstair.edge._node import EdgeAdapters
 from geraniumstair.edge._node import EdgeNode
 from geraniumstair.edge._node import EdgeSettings
+from geraniumstair.edge._presence import Member
 from geraniumstair.edge._presence import Presence
 from geraniumstair.edge._presence import neighbours
 from geraniumstair.edge._state import DesiredState
@@ -30,6 +31,7 @@
     "EndpointGone",
     "HttpAnswer",
     "Lifecycle",
+    "Member",
     "Presence",
     "ReadinessApplication",
     "RequestHead",
--- a/src/geraniumstair/edge/_node.py
+++ b/src/geraniumstair/edge/_node.py
@@ -1,5 +1,6 @@
 """Assembles one node that serves callers."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import logging
@@ -148,16 +149,30 @@
             random.Random(),
         )
         self._pool = pool
-        forwarder = forward.Forwarder(
-            pool, self._budget, self._adapters.dialect, metrics
-        )
         state = _state.DesiredState(
             self._adapters.decoder, self._registry, pool
         )
+        self._delegation = forward.Delegation(
+            settings.availability_zone,
+            pool,
+            self._network,
+            state,
+            random.Random(),
+        )
+        forwarder = forward.Forwarder(
+            pool,
+            self._budget,
+            self._adapters.dialect,
+            metrics,
+            self._delegation,
+        )
+        forward.PartsServer(self._network, state, forwarder, self._lifecycle)
         self._mirror.subscribe(state.adopt)
         self._presence = _presence.Presence(
             settings.node_id,
-            settings.peer_listener,
+            _presence.Member(
+                settings.peer_listener, settings.availability_zone
+            ),
             self._adapters.store,
             self._mirror,
             self._network,
@@ -224,7 +239,9 @@
             len(list(self._registry.entries())),
         )
 
-    def _set_members(self, members: frozenset[str]) -> None:
+    def _set_members(self, zones: Mapping[str, str]) -> None:
+        members = frozenset(zones)
+        self._delegation.set_zones(zones)
         self._duty.set_members(members)
         self._budget.set_nodes(len(members))
         self._pool.set_members(members)
--- a/src/geraniumstair/edge/_presence.py
+++ b/src/geraniumstair/edge/_presence.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Mapping
+import dataclasses
 import json
 import logging
 from typing import Protocol
@@ -24,6 +25,19 @@
 FULL_MESH_NODES = 10
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A registered node.
+
+    Attributes:
+        address: Where its peers reach it.
+        availability_zone: Where it runs.
+    """
+
+    address: peers.PeerAddress
+    availability_zone: str
+
+
 class LeaseStore(Protocol):
     """The part of the store that presence uses."""
 
@@ -87,24 +101,25 @@
 
     Args:
         node_id: This node.
-        address: Where its peers reach it.
+        member: What it registers.
         lease_store: The store.
         view: The mirror of the store.
         network: Streams to peers.
-        changed: Called with the members when they change.
+        changed: Called with the availability zone of each member when they
+            change; it is empty for one whose registration is not known.
     """
 
     def __init__(
         self,
         node_id: str,
-        address: peers.PeerAddress,
+        member: Member,
         lease_store: LeaseStore,
         view: mirror.Mirror,
         network: Network,
-        changed: Callable[[frozenset[str]], None],
+        changed: Callable[[Mapping[str, str]], None],
     ) -> None:
         self._node_id = node_id
-        self._address = address
+        self._member = member
         self._store = lease_store
         self._view = view
         self._network = network
@@ -112,7 +127,8 @@
         self._lease_id = 0
         self._members: frozenset[str] = frozenset([node_id])
         self._read_at = -1
-        self._registered: dict[str, peers.PeerAddress] = {}
+        self._followed: object = None
+        self._registered: dict[str, Member] = {}
 
     async def run(self) -> None:
         """Keeps the registration and follows the members, for ever."""
@@ -152,7 +168,11 @@
             return False
         self._lease_id = granted.ok_value
         value = json.dumps(
-            {"address": self._address.address, "port": self._address.port}
+            {
+                "address": self._member.address.address,
+                "port": self._member.address.port,
+                "availability_zone": self._member.availability_zone,
+            }
         )
         put = store.Put(
             KEY_PREFIX + self._node_id, value.encode(), self._lease_id
@@ -177,8 +197,10 @@
         registered = self._registered
         members = frozenset(registered) | self._network.connected()
         members |= {self._node_id}
-        if members == self._members:
+        state = (members, registered)
+        if state == self._followed:
             return
+        self._followed = state
         _LOG.info(
             "edge: members appeared: %s; gone: %s",
             sorted(members - self._members),
@@ -187,9 +209,12 @@
         self._members = members
         chosen = neighbours(self._node_id, members)
         self._network.set_peers(
-            {n: a for n, a in registered.items() if n in chosen}
+            {n: m.address for n, m in registered.items() if n in chosen}
         )
-        self._changed(members)
+        zones = dict.fromkeys(members, "")
+        zones |= {n: m.availability_zone for n, m in registered.items()}
+        zones[self._node_id] = self._member.availability_zone
+        self._changed(zones)
 
     def _read_registered(self) -> None:
         if self._read_at == self._view.newest:
@@ -197,17 +222,18 @@
         self._read_at = self._view.newest
         found = {}
         for item in self._view.with_prefix(KEY_PREFIX):
-            address = _decode_address(item.value or b"")
-            if address is None:
+            member = _decode_member(item.value or b"")
+            if member is None:
                 _LOG.warning("edge: the key %s names no node", item.key)
             else:
-                found[item.key.removeprefix(KEY_PREFIX)] = address
+                found[item.key.removeprefix(KEY_PREFIX)] = member
         self._registered = found
 
 
-def _decode_address(value: bytes) -> peers.PeerAddress | None:
+def _decode_member(value: bytes) -> Member | None:
     try:
         fields = json.loads(value)
-        return peers.PeerAddress(str(fields["address"]), int(fields["port"]))
+        address = peers.PeerAddress(str(fields["address"]), int(fields["port"]))
+        return Member(address, str(fields.get("availability_zone", "")))
     except (ValueError, TypeError, KeyError):
         return None
--- a/src/geraniumstair/forward/__init__.py
+++ b/src/geraniumstair/forward/__init__.py
@@ -8,6 +8,7 @@
 from geraniumstair.forward._call import Outcome
 from geraniumstair.forward._call import PreparedRequest
 from geraniumstair.forward._call import Reply
+from geraniumstair.forward._delegation import Delegation
 from geraniumstair.forward._endpoints import EndpointPool
 from geraniumstair.forward._endpoints import PoolSettings
 from geraniumstair.forward._forwarder import Forwarder
@@ -15,6 +16,7 @@
 from geraniumstair.forward._link import LinkFactory
 from geraniumstair.forward._link import TcpLinkFactory
 from geraniumstair.forward._metrics import ForwardMetrics
+from geraniumstair.forward._parts_server import PartsServer
 from geraniumstair.forward._records import RECORD_BYTES
 from geraniumstair.forward._records import greatest_records
 from geraniumstair.forward._replica import Replica
@@ -29,6 +31,7 @@
     "BudgetLimits",
     "Call",
     "CallerRequest",
+    "Delegation",
     "Dialect",
     "EndpointPool",
     "ForwardMetrics",
@@ -37,6 +40,7 @@
     "Link",
     "LinkFactory",
     "Outcome",
+    "PartsServer",
     "PoolSettings",
     "PreparedRequest",
     "RefusalReason",
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -297,6 +297,15 @@
             return 0.0
         return usable / nodes
 
+    def sound_zones(self, service: str) -> frozenset[str]:
+        """Returns the availability zones with a sound endpoint."""
+        now_s = trio.current_time()
+        return frozenset(
+            r.entry.availability_zone
+            for r in self._by_service.get(service, ())
+            if (cost := self._cost(r, now_s)) is not None and cost[0] == 0
+        )
+
     def usable(self, service: str) -> bool:
         """True if some endpoint of the service may get calls."""
         return any(
--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -8,6 +8,7 @@
 from geraniumstair.forward import _budget
 from geraniumstair.forward import _call
 from geraniumstair.forward import _context
+from geraniumstair.forward import _delegation
 from geraniumstair.forward import _endpoints
 from geraniumstair.forward import _metrics
 from geraniumstair.forward import _result
@@ -29,6 +30,8 @@
         budget: Repeats that this node may make.
         dialect: What endpoints speak.
         metrics: Where requests are counted.
+        delegation: Lets nodes near the endpoints ask some shards; None asks
+            all of them from here.
     """
 
     def __init__(
@@ -37,7 +40,9 @@
         budget: _budget.RetryBudget,
         dialect: _call.Dialect,
         metrics: _metrics.ForwardMetrics,
+        delegation: _delegation.Delegation | None = None,
     ) -> None:
+        self._delegation = delegation
         self._context = _context.Context(
             pool, budget, dialect, metrics, _timing.HedgeDelays()
         )
@@ -72,11 +77,41 @@
         self, request: _call.CallerRequest, route: routing.Route
     ) -> _result.ForwardResult:
         if route.is_search:
-            return await _search.Search(self._context, request, route).run()
+            search = _search.Search(
+                self._context,
+                request,
+                route,
+                route.shards,
+                _search.least_parts(route),
+                self._delegation,
+            )
+            return await search.run()
         service = self._split(route).next()
         single = _single.Single(self._context, request, route, service)
         return await single.run()
 
+    async def gather(
+        self,
+        request: _call.CallerRequest,
+        route: routing.Route,
+        shards: tuple[str, ...],
+        least: int,
+    ) -> tuple[_result.ForwardResult, tuple[str, ...]]:
+        """Asks some shards of a search for another node.
+
+        Returns:
+            The outcome, and the shards that answered in the order of their
+            signatures.
+        """
+        self.in_progress += 1
+        try:
+            search = _search.Search(
+                self._context, request, route, shards, least
+            )
+            return await search.run(), search.answered_shards()
+        finally:
+            self.in_progress -= 1
+
     def _split(self, route: routing.Route) -> routing.WeightedSplit:
         split = self._splits.get(route.parts)
         if split is None:
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -1,5 +1,7 @@
 """One search: a call to each shard, repeats, and the merged answer."""
 
+from collections.abc import Sequence
+import functools
 import logging
 import math
 
@@ -8,6 +10,7 @@
 from geraniumstair import routing
 from geraniumstair.forward import _call
 from geraniumstair.forward import _context
+from geraniumstair.forward import _delegation
 from geraniumstair.forward import _records
 from geraniumstair.forward import _replica
 from geraniumstair.forward import _result
@@ -19,13 +22,21 @@
 RETRY_PAUSE_S = 0.015
 # Repeats of one shard that certainly did not run.
 MAX_REFUSALS = 6
+# How often a node that asks shards is checked; its pings are far slower.
+GROUP_CHECK_S = 0.06
+
+
+def least_parts(route: routing.Route) -> int:
+    """Returns the parts that make an answer."""
+    # The small term keeps a product such as 0.9 * 20 from rounding up.
+    return max(1, math.ceil(route.min_coverage * len(route.shards) - 1e-9))
 
 
 class _Shard:
     """Calls for one part."""
 
-    __slots__ = ("failed", "open", "part", "refusals", "retry_s", "runs",
-                 "service", "tried")  # fmt: skip
+    __slots__ = ("delegated", "failed", "open", "part", "refusals",
+                 "retry_s", "runs", "service", "tried")  # fmt: skip
 
     def __init__(self, service: str) -> None:
         self.service = service
@@ -36,6 +47,7 @@
         self.retry_s = math.inf
         self.part: _call.Reply | None = None
         self.failed = False
+        self.delegated = False
 
     @property
     def pending(self) -> bool:
@@ -50,6 +62,10 @@
         context: What all requests share.
         request: The caller's request.
         route: Its route, which stays the same until the answer.
+        shards: The shards that are asked.
+        least: Parts that make an answer.
+        delegation: Lets nodes near the endpoints ask some shards; None asks
+            all of them from here.
     """
 
     def __init__(
@@ -57,15 +73,20 @@
         context: _context.Context,
         request: _call.CallerRequest,
         route: routing.Route,
+        shards: Sequence[str],
+        least: int,
+        delegation: _delegation.Delegation | None = None,
     ) -> None:
         self._context = context
+        self._request = request
         self._route = route
         self._prepared = context.dialect.prepare(request)
         self._deadlines = _timing.deadlines(request, route)
-        self._shards = {name: _Shard(name) for name in route.shards}
-        self._least = max(
-            1, math.ceil(route.min_coverage * len(self._shards) - 1e-9)
-        )
+        self._shards = {name: _Shard(name) for name in shards}
+        self._least = least
+        self._delegation = delegation
+        self._groups: list[_delegation.PendingGroup] = []
+        self._check_s = math.inf
         self._answered = 0
         self._failed = 0
         self._hedge_s = math.inf
@@ -103,11 +124,91 @@
     def _start(self) -> None:
         now_s = trio.current_time()
         self._hedge_s = now_s + self._context.delays.delay_ms(self._route) / 1e3
+        budget = self._context.budget
+        if self._delegation is not None:
+            self._start_groups(self._delegation, now_s)
         for shard in self._shards.values():
-            self._context.budget.earn(shard.service)
+            if shard.delegated:
+                continue
+            budget.earn(shard.service)
             if not self._try_call(shard):
                 self._pause(shard, now_s)
 
+    # ---- shards that other nodes ask ----
+
+    def _start_groups(
+        self, delegation: _delegation.Delegation, now_s: float
+    ) -> None:
+        may_miss = len(self._shards) - self._least
+        for group in delegation.plan(self._route):
+            for name in group.shards:
+                self._shards[name].delegated = True
+            pending = delegation.start(
+                group,
+                self._request,
+                max(1, len(group.shards) - may_miss),
+                functools.partial(self._group_replied, group),
+            )
+            if pending is None:
+                for name in group.shards:
+                    self._shards[name].delegated = False
+            else:
+                self._groups.append(pending)
+                self._check_s = now_s + GROUP_CHECK_S
+
+    def _group_replied(
+        self, group: _delegation.Group, reply: _delegation.GroupReply
+    ) -> None:
+        self._groups = [p for p in self._groups if p.group is not group]
+        # The merged records stand for all parts of the group.
+        records = reply.records
+        for name, signature in reply.signatures.items():
+            shard = self._shards[name]
+            if shard.pending:
+                shard.part = _call.Reply(
+                    _call.Outcome.ANSWERED, body=records, signature=signature
+                )
+                records = b""
+                self._answered += 1
+        missing = [self._shards[n] for n in group.shards]
+        for shard in missing:
+            if shard.pending:
+                self._take_over(shard, reply)
+        if self._decided():
+            self._wake.set()
+
+    def _take_over(self, shard: _Shard, reply: _delegation.GroupReply) -> None:
+        """Asks a shard that another node did not ask, or in vain."""
+        shard.delegated = False
+        budget = self._context.budget
+        if not reply.failure:
+            # The other node has used all its attempts.
+            self._fail(shard)
+            return
+        if not reply.ran:
+            budget.earn(shard.service)
+        else:
+            shard.runs += 1
+            if shard.runs >= self._route.max_attempts or not budget.take(
+                shard.service
+            ):
+                self._fail(shard)
+                return
+        if not self._try_call(shard):
+            self._pause(shard, trio.current_time())
+
+    def _check_groups(self, now_s: float) -> None:
+        self._check_s = math.inf
+        for pending in list(self._groups):
+            if pending.responsive:
+                self._check_s = now_s + GROUP_CHECK_S
+                continue
+            pending.give_up(failed=True)
+            self._group_replied(
+                pending.group,
+                _delegation.GroupReply({}, b"", "no answer to pings"),
+            )
+
     # ---- calls ----
 
     def _try_call(self, shard: _Shard, *, healthy: bool = False) -> bool:
@@ -200,6 +301,8 @@
                 self._call_again(shard, now_s)
         if now_s >= self._hedge_s:
             self._hedge(now_s)
+        if now_s >= self._check_s:
+            self._check_groups(now_s)
 
     def _call_again(self, shard: _Shard, now_s: float) -> None:
         if self._try_call(shard):
@@ -234,7 +337,7 @@
         next_s = self._deadlines.final_s
         if now_s < self._deadlines.goal_s:
             next_s = min(next_s, self._deadlines.goal_s)
-        next_s = min(next_s, self._hedge_s)
+        next_s = min(next_s, self._hedge_s, self._check_s)
         for shard in self._shards.values():
             if shard.retry_s < next_s:
                 next_s = shard.retry_s
@@ -284,6 +387,15 @@
             replica.abandon(call, now_s)
         shard.open.clear()
 
+    def answered_shards(self) -> tuple[str, ...]:
+        """Returns the shards with a part, in the order of the signatures."""
+        return tuple(
+            name for name, s in self._shards.items() if s.part is not None
+        )
+
     def _abandon(self) -> None:
+        late = trio.current_time() >= self._deadlines.goal_s
+        for pending in self._groups:
+            pending.give_up(failed=late)
         for shard in self._shards.values():
             self._abandon_shard(shard)
--- a/src/geraniumstair/platform/_settings.py
+++ b/src/geraniumstair/platform/_settings.py
@@ -14,7 +14,7 @@
 READINESS_PATH = "/api/readiness"
 # Bytes between availability zones are charged for, so an endpoint of the own
 # one is preferred while it is not much busier.
-REMOTE_COST_MS = 12.0
+REMOTE_COST_MS = 60.0
 
 
 def _model(**kwargs: object) -> pydantic.ConfigDict:
--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -14,6 +14,7 @@
 from geraniumstair import dispatch
 from geraniumstair import forward
 from geraniumstair import mirror
+from geraniumstair import peers
 from geraniumstair import routing
 from geraniumstair import store
 
@@ -410,3 +411,39 @@
         for name, value in headers.items()
     ]
     return dispatch.Response(status, fields, body)
+
+
+class DirectNetwork(FakeNetwork):
+    """Also makes calls without a task, and can fall silent."""
+
+    silent = False
+
+    def responsive(self, node_id: str) -> bool:
+        """Tells whether the peer answers."""
+        return node_id in self.connected() and not self._nodes[node_id].silent
+
+    def start_call(
+        self, node_id: str, request: Any, answered: Callable[[Any], None]
+    ) -> Any:
+        """Delivers a request; the reply comes later."""
+        self.calls += 1
+        if node_id not in self.connected():
+            return result.Err(peers.PeerFailure(False, "cut"))
+        scope = trio.CancelScope()
+
+        async def serve() -> None:
+            with scope:
+                other = self._nodes[node_id]
+                handler = other.handlers[type(request)]
+                reply = await handler(self.node_id, request)
+                if other.silent:
+                    await trio.sleep_forever()
+                answered(result.Ok(reply))
+
+        trio.lowlevel.spawn_system_task(serve)
+
+        def withdraw() -> bool:
+            scope.cancel()
+            return False
+
+        return result.Ok(withdraw)
--- /dev/null
+++ b/tests/test_forward_delegation.py
@@ -0,0 +1,184 @@
+"""Tests of searches whose shards are asked by nodes near the endpoints."""
+
+import random
+import unittest
+
+import trio
+import trio.testing
+
+from geraniumstair import discovery
+from geraniumstair import forward
+from geraniumstair import routing
+from tests import builders_edge as builders
+
+
+def _run(test) -> None:
+    async def bounded() -> None:
+        with trio.fail_after(600):
+            async with trio.open_nursery() as nursery:
+                await test(nursery)
+                nursery.cancel_scope.cancel()
+
+    trio.run(bounded, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class _Node:
+    """Routes in force and readiness of one node."""
+
+    def __init__(self, table: routing.RouteTable) -> None:
+        self.table: routing.RouteTable | None = table
+        self.stopping = False
+
+
+class _Site:
+    """Node n1 in zone a and node n2 in zone b.
+
+    Six of the eight shards have endpoints in zone b only.
+    """
+
+    def __init__(self, nursery: trio.Nursery, **route: object) -> None:
+        names = [f"s{i}" for i in range(8)]
+        self.route = builders.search_route(names, top_k=8, **route)
+        entries: list[discovery.EndpointEntry] = []
+        for i, name in enumerate(names):
+            for copy in "xy":
+                zone = "a" if i < 2 else "b"
+                entries.append(
+                    builders.entry(
+                        f"{copy}{i}", service=name, availability_zone=zone
+                    )
+                )
+        self.near = builders.Edge(nursery, entries, [self.route])
+        self.far = builders.Edge(nursery, entries, [self.route])
+        self.networks: dict[str, builders.FakeNetwork] = {}
+        self.near_network = builders.DirectNetwork("n1", self.networks)
+        self.far_network = builders.DirectNetwork("n2", self.networks)
+        self.near_node = _Node(builders.table([self.route]))
+        self.far_node = _Node(builders.table([self.route]))
+        self.delegation = forward.Delegation(
+            "a",
+            self.near.pool,
+            self.near_network,
+            self.near_node,
+            random.Random(1),
+        )
+        self.delegation.set_zones({"n1": "a", "n2": "b"})
+        self.forwarder = forward.Forwarder(
+            self.near.pool,
+            self.near.budget,
+            builders.FakeDialect(),
+            self.near.metrics,
+            self.delegation,
+        )
+        forward.PartsServer(
+            self.far_network, self.far_node, self.far.forwarder, self.far_node
+        )
+        for i in range(8):
+            for edge in (self.near, self.far):
+                for copy in "xy":
+                    edge.site.behaviour(f"{copy}{i}").reply = builders.answer(
+                        b"%d" % i * 16, signature=b"p%d" % i
+                    )
+
+    async def search(self) -> forward.ForwardResult:
+        """Runs one search at node n1."""
+        return await self.forwarder.forward(
+            builders.caller_request(), self.route
+        )
+
+
+_ALL = b"".join(b"%d" % i * 16 for i in range(7, -1, -1))
+
+
+class DelegationTest(unittest.TestCase):
+    """Guards against needless bytes between zones, and lost or false parts."""
+
+    def test_remote_shards_are_asked_by_a_node_beside_them(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery)
+            outcome = await site.search()
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(outcome.missing, 0)
+            self.assertEqual(outcome.records, _ALL)
+            self.assertEqual(
+                sorted(outcome.signatures), [b"p%d" % i for i in range(8)]
+            )
+            self.assertEqual(len(site.near.site.sent), 2)
+            self.assertEqual(len(site.far.site.sent), 6)
+
+        _run(test)
+
+    def test_a_node_that_cannot_help_is_replaced_at_once(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            for spoil in ("stopping", "version", "cut"):
+                with self.subTest(spoil=spoil):
+                    site = _Site(nursery)
+                    site.far_node.stopping = spoil == "stopping"
+                    if spoil == "version":
+                        site.far_node.table = None
+                    site.far_network.cut = spoil == "cut"
+                    outcome = await site.search()
+                    assert isinstance(outcome, forward.SearchResult)
+                    self.assertEqual(outcome.missing, 0)
+                    self.assertEqual(outcome.records, _ALL)
+                    self.assertEqual(site.far.site.sent, [])
+
+        _run(test)
+
+    def test_a_silent_node_is_replaced_within_the_time_limit(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery, min_coverage=0.9)
+            site.far_network.silent = True
+            started_s = trio.current_time()
+            outcome = await site.search()
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(outcome.missing, 0)
+            self.assertLess(trio.current_time() - started_s, 0.2)
+            # It is not asked again at once.
+            calls = site.near_network.calls
+            await site.search()
+            self.assertEqual(site.near_network.calls, calls)
+
+        _run(test)
+
+    def test_parts_that_the_other_node_lacks_are_missing(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery, min_coverage=0.75)
+            for copy in "xy":
+                site.far.site.behaviour(f"{copy}5").reply = None
+            started_s = trio.current_time()
+            outcome = await site.search()
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(outcome.missing, 1)
+            self.assertNotIn(b"p5", outcome.signatures)
+            self.assertEqual(len(outcome.signatures), 7)
+            self.assertLess(trio.current_time() - started_s, 0.2)
+
+        _run(test)
+
+    def test_the_other_node_stops_when_the_caller_has_gone(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery)
+            for i in range(8):
+                for copy in "xy":
+                    site.far.site.behaviour(f"{copy}{i}").delay_s = 5.0
+                    site.near.site.behaviour(f"{copy}{i}").delay_s = 5.0
+            with trio.move_on_after(0.05):
+                await site.search()
+            await trio.sleep(0.5)
+            loads = [r.load for r in site.far.pool.replicas()]
+            self.assertEqual(sum(loads), 0)
+
+        _run(test)
+
+    def test_shards_of_another_version_are_not_mixed(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery)
+            other = builders.search_route(["t0", "t1"])
+            site.far_node.table = builders.table([other], version=2)
+            outcome = await site.search()
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(len(outcome.signatures), 8)
+            self.assertEqual(site.far.site.sent, [])
+
+        _run(test)
