Start nodes sooner, read the store less, explain requests in the log

Cause: after all machines lost power, nodes needed 1.0 s of processor time to start, which is most of the worst window. Importing dispatch pulled in the configuration document and its pydantic models, and the copied package was compiled at each start. An endpoint that had been slow was never tried again.

A watch waits 0.1 s after changes, and a node whose peers watch retries every 3 s. The average latency of an endpoint decays without replies. Requests that were repeated, late, partial or refused get one JSON line with what was tried; lines are dropped and counted when nobody reads them.

Ruled out: a slower endpoint choice as the cause of the window around the restart; all requests failed there because no process listened.

--- a/src/geraniumstair/dispatch/__init__.py
+++ b/src/geraniumstair/dispatch/__init__.py
@@ -10,10 +10,6 @@
 from geraniumstair.dispatch._dispatcher import Dispatcher
 from geraniumstair.dispatch._http_client import HttpClient
 from geraniumstair.dispatch._http_client import HttpConnection
-from geraniumstair.dispatch._latency import LatencyWindow
-from geraniumstair.dispatch._response import InvalidResponse
-from geraniumstair.dispatch._response import Response
-from geraniumstair.dispatch._response import ResponseReader
 
 __all__ = [
     "AuthorityReader",
@@ -25,9 +21,5 @@
     "EndpointReply",
     "HttpClient",
     "HttpConnection",
-    "InvalidResponse",
-    "LatencyWindow",
     "Outcome",
-    "Response",
-    "ResponseReader",
 ]
--- a/src/geraniumstair/dispatch/_http_client.py
+++ b/src/geraniumstair/dispatch/_http_client.py
@@ -20,9 +20,9 @@
 
 import trio
 
+from geraniumstair import calls
 from geraniumstair import configuration
 from geraniumstair.dispatch import _client
-from geraniumstair.dispatch import _response
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 _READ_BYTES = 64 * 1024
@@ -108,7 +108,7 @@
         max_response_bytes: int,
     ) -> None:
         self._socket = endpoint_socket
-        self._reader = _response.ResponseReader(max_response_bytes)
+        self._reader = calls.ResponseReader(max_response_bytes)
         self._authority = authority
         self._open = True
         self._sent_bytes = 0
@@ -153,7 +153,7 @@
             raw = await self._exchange(head + call.body)
         except (OSError, trio.ClosedResourceError) as error:
             return self._broken(error)
-        except _response.InvalidResponse as error:
+        except calls.InvalidResponse as error:
             self._close()
             return _client.EndpointReply(
                 _client.Outcome.INVALID, f"malformed response: {error}"
@@ -181,10 +181,10 @@
             )
         try:
             return _reply(_client.Outcome.ANSWERED, raw, "")
-        except _response.InvalidResponse as error:
+        except calls.InvalidResponse as error:
             return _client.EndpointReply(_client.Outcome.INVALID, str(error))
 
-    async def _control(self, data: bytes) -> _response.Response | None:
+    async def _control(self, data: bytes) -> calls.Response | None:
         raw = None
         with trio.move_on_after(STATUS_TIMEOUT_S):
             try:
@@ -192,7 +192,7 @@
             except (
                 OSError,
                 trio.ClosedResourceError,
-                _response.InvalidResponse,
+                calls.InvalidResponse,
             ):
                 raw = None
         if raw is None:
@@ -209,7 +209,7 @@
             _client.Outcome.CONNECTION_LOST, f"connection lost: {error}"
         )
 
-    async def _exchange(self, data: bytes) -> _response.Response:
+    async def _exchange(self, data: bytes) -> calls.Response:
         self._sent_bytes = 0
         complete = False
         try:
@@ -245,13 +245,13 @@
             except BlockingIOError:
                 continue
 
-    async def _receive(self) -> _response.Response:
+    async def _receive(self) -> calls.Response:
         reader = self._reader
         while True:
             data = await self._read()
             if not data:
                 if reader.started:
-                    raise _response.InvalidResponse("the response is cut off")
+                    raise calls.InvalidResponse("the response is cut off")
                 raise ConnectionResetError("closed before a response")
             response = reader.feed(data)
             if response is not None:
@@ -261,7 +261,7 @@
 
 
 def _reply(
-    outcome: _client.Outcome, raw: _response.Response, detail: str
+    outcome: _client.Outcome, raw: calls.Response, detail: str
 ) -> _client.EndpointReply:
     headers = raw.headers
     listed = headers.get(b"x-snapshots")
@@ -270,9 +270,7 @@
         try:
             snapshots = tuple(int(s) for s in listed.split(b",") if s.strip())
         except ValueError as error:
-            raise _response.InvalidResponse(
-                "x-snapshots is not a list"
-            ) from error
+            raise calls.InvalidResponse("x-snapshots is not a list") from error
     return _client.EndpointReply(
         outcome=outcome,
         detail=detail,
@@ -283,7 +281,7 @@
 
 
 def _classify(
-    raw: _response.Response, request_id: bytes, snapshot: bytes
+    raw: calls.Response, request_id: bytes, snapshot: bytes
 ) -> _client.EndpointReply:
     headers = raw.headers
     outcomes = _client.Outcome
@@ -310,19 +308,19 @@
         return _reply(
             outcomes.FAILED, raw, f"the endpoint answered {raw.status}"
         )
-    except _response.InvalidResponse as error:
+    except calls.InvalidResponse as error:
         return _client.EndpointReply(outcomes.INVALID, str(error))
 
 
-def _answer(raw: _response.Response, snapshot: bytes) -> _client.EndpointReply:
+def _answer(raw: calls.Response, snapshot: bytes) -> _client.EndpointReply:
     if raw.headers.get(b"x-snapshot") != snapshot:
-        raise _response.InvalidResponse("the answer is of another snapshot")
+        raise calls.InvalidResponse("the answer is of another snapshot")
     try:
         coverage_pct = float(raw.headers.get(b"x-coverage-pct", b""))
     except ValueError as error:
-        raise _response.InvalidResponse("the answer has no coverage") from error
+        raise calls.InvalidResponse("the answer has no coverage") from error
     if not math.isfinite(coverage_pct) or not 0 <= coverage_pct <= 100:
-        raise _response.InvalidResponse("the coverage is out of range")
+        raise calls.InvalidResponse("the coverage is out of range")
     reply = _reply(_client.Outcome.ANSWERED, raw, "")
     reply.body = raw.body
     reply.coverage_pct = coverage_pct
--- a/src/geraniumstair/dispatch/_replicas.py
+++ b/src/geraniumstair/dispatch/_replicas.py
@@ -8,12 +8,12 @@
 
 import trio
 
+from geraniumstair import calls
 from geraniumstair import configuration
 from geraniumstair._generated import messages
 from geraniumstair.dispatch import _client
 from geraniumstair.dispatch import _connection
 from geraniumstair.dispatch import _endpoint
-from geraniumstair.dispatch import _latency
 from geraniumstair.dispatch import _metrics
 from geraniumstair.dispatch import _outlier
 from geraniumstair.dispatch import _pending
@@ -61,7 +61,7 @@
         listener: _endpoint.Listener,
     ) -> None:
         self.endpoints: list[_endpoint.Endpoint] = []
-        self.latency = _latency.LatencyWindow()
+        self.latency = calls.LatencyWindow()
         self._key = key
         self._surroundings = surroundings
         self._listener = listener
--- a/src/geraniumstair/dispatch/_versions.py
+++ b/src/geraniumstair/dispatch/_versions.py
@@ -5,9 +5,9 @@
 import dataclasses
 import math
 
+from geraniumstair import calls
 from geraniumstair import rollout
 from geraniumstair._generated import messages
-from geraniumstair.dispatch import _latency
 
 # Counts are halved at this number of requests, so that a changed mix of
 # traffic shows in the share soon.
@@ -136,7 +136,7 @@
         self._table = rollout.EvidenceTable(
             share.old_version, share.new_version
         )
-        self._old_latency: dict[str, _latency.LatencyWindow] = {}
+        self._old_latency: dict[str, calls.LatencyWindow] = {}
         self._starts: dict[str, _Start] = {}
 
     def add_failure(self, version: str, route: str, window_s: int) -> bool:
@@ -203,7 +203,7 @@
     def _is_slow(self, route: str, latency_ms: float) -> bool:
         window = self._old_latency.get(route)
         if window is None:
-            window = self._old_latency[route] = _latency.LatencyWindow()
+            window = self._old_latency[route] = calls.LatencyWindow()
         if len(window) < _MIN_OLD_SAMPLES:
             return False
         return latency_ms > window.quantile(0.95)
--- a/src/geraniumstair/edge/_application.py
+++ b/src/geraniumstair/edge/_application.py
@@ -14,6 +14,7 @@
 import trio
 
 from geraniumstair import forward
+from geraniumstair import observe
 from geraniumstair import routing
 from geraniumstair.edge import _lifecycle
 
@@ -150,6 +151,12 @@
         # The newest version counts, also if it arrived with the body.
         table = self._state.table
         if table is None:
+            _LOG.info(
+                "edge: request refused without any routes",
+                extra=observe.fields(
+                    request_id=request.request_id.decode("latin-1")
+                ),
+            )
             refused = forward.Refused(
                 forward.RefusalReason.NO_CONFIGURATION,
                 True,
@@ -161,11 +168,13 @@
         if route is None:
             detail = f"version {table.version} has no route"
             _LOG.info(
-                "edge: request %s refused: %s for %s%s",
-                request.request_id.decode("latin-1"),
-                detail,
-                request.host,
-                request.path,
+                "edge: request refused without a route",
+                extra=observe.fields(
+                    request_id=request.request_id.decode("latin-1"),
+                    version=table.version,
+                    host=request.host,
+                    path=request.path,
+                ),
             )
             return _no_route(detail), None
         return None, route
@@ -183,8 +192,11 @@
             nursery.cancel_scope.cancel()
         if outcome is None:
             _LOG.info(
-                "edge: the caller of request %s has gone",
-                request.request_id.decode("latin-1"),
+                "edge: the caller of a request has gone",
+                extra=observe.fields(
+                    request_id=request.request_id.decode("latin-1"),
+                    route=route.name,
+                ),
             )
             return None
         return self._codec.render(outcome)
--- a/src/geraniumstair/edge/_state.py
+++ b/src/geraniumstair/edge/_state.py
@@ -9,6 +9,7 @@
 
 from geraniumstair import discovery
 from geraniumstair import mirror
+from geraniumstair import observe
 from geraniumstair import routing
 
 _LOG = logging.getLogger(__name__)
@@ -103,8 +104,10 @@
             removed = list(self._registry.expire())
             if removed:
                 _LOG.info(
-                    "edge: endpoints gone after their entries lapsed: %s",
-                    ", ".join(entry.endpoint_id for entry in removed),
+                    "edge: endpoints gone after their entries lapsed",
+                    extra=observe.fields(
+                        endpoints=[e.endpoint_id for e in removed]
+                    ),
                 )
                 self._user.refresh()
 
@@ -113,15 +116,44 @@
             case RoutesChanged(table):
                 self._adopt_table(table)
             case EndpointChanged(entry):
-                self._registry.put(entry)
+                self._put(entry)
             case EndpointGone(endpoint_id):
-                self._registry.lapse(endpoint_id)
+                self._lapse(endpoint_id)
             case ZoneChanged(zone, out):
                 single = frozenset([zone])
                 zones = self._zones_out
                 self._zones_out = zones | single if out else zones - single
                 self._user.set_zones_out(self._zones_out)
 
+    def _put(self, entry: discovery.EndpointEntry) -> None:
+        known = self._registry.get(entry.endpoint_id)
+        if known is None or known.state is not entry.state:
+            _LOG.info(
+                "edge: an endpoint changed its state",
+                extra=observe.fields(
+                    endpoint=entry.endpoint_id,
+                    service=entry.service,
+                    state=entry.state.value,
+                    earlier_state=known.state.value if known else None,
+                    started_ms=entry.started_ms,
+                    warmup_left_ms=entry.warmup_left_ms,
+                ),
+            )
+        self._registry.put(entry)
+
+    def _lapse(self, endpoint_id: str) -> None:
+        known = self._registry.get(endpoint_id)
+        if known is not None:
+            _LOG.info(
+                "edge: the entry of an endpoint is gone",
+                extra=observe.fields(
+                    endpoint=endpoint_id,
+                    service=known.service,
+                    earlier_state=known.state.value,
+                ),
+            )
+        self._registry.lapse(endpoint_id)
+
     def _adopt_table(self, table: routing.RouteTable) -> None:
         if self.table is not None and table.version <= self.table.version:
             _LOG.info(
@@ -130,6 +162,13 @@
                 self.table.version,
             )
             return
-        _LOG.info("edge: version %d of the routes is in force", table.version)
+        _LOG.info(
+            "edge: another version of the routes is in force",
+            extra=observe.fields(
+                version=table.version,
+                earlier_version=self.table.version if self.table else None,
+                routes=len(table.routes()),
+            ),
+        )
         self.table = table
         self._user.adopt_table(table)
--- a/src/geraniumstair/forward/_call.py
+++ b/src/geraniumstair/forward/_call.py
@@ -6,7 +6,7 @@
 import enum
 from typing import Protocol
 
-from geraniumstair import dispatch
+from geraniumstair import calls
 
 
 class Outcome(enum.Enum):
@@ -108,12 +108,12 @@
         ...
 
     def classify(
-        self, response: dispatch.Response, request_id: bytes
+        self, response: calls.Response, request_id: bytes
     ) -> Reply | None:
         """Tells what a response means; None if it is another request's."""
         ...
 
-    def idle_limit_s(self, response: dispatch.Response) -> float | None:
+    def idle_limit_s(self, response: calls.Response) -> float | None:
         """Returns how long the connection may stay idle, if it is known."""
         ...
 
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -256,7 +256,7 @@
         elif replica.is_stalled(now_s):
             rank = 1
         waits = 1 + replica.load / max(1, entry.slots)
-        cost_ms = replica.latency_ms * waits
+        cost_ms = replica.expected_ms(now_s) * waits
         cost_ms += FAILURE_COST_MS * replica.failure_share
         if entry.availability_zone != self._settings.availability_zone:
             cost_ms += self._settings.remote_cost_ms
--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -1,7 +1,5 @@
 """Takes a caller's request to its endpoints and returns what came of it."""
 
-import logging
-
 import trio
 
 from geraniumstair import routing
@@ -11,12 +9,12 @@
 from geraniumstair.forward import _delegation
 from geraniumstair.forward import _endpoints
 from geraniumstair.forward import _metrics
+from geraniumstair.forward import _report
 from geraniumstair.forward import _result
 from geraniumstair.forward import _search
 from geraniumstair.forward import _single
 from geraniumstair.forward import _timing
 
-_LOG = logging.getLogger(__name__)
 SWEEP_INTERVAL_S = 0.05
 # Splits that routes of earlier versions used are forgotten beyond this.
 _MAX_SPLITS = 2000
@@ -47,7 +45,7 @@
             pool, budget, dialect, metrics, _timing.HedgeDelays()
         )
         self._splits: dict[
-            tuple[routing.SplitPart, ...], routing.WeightedSplit
+            tuple[routing.SplitPart, ...], routing.ServiceSplit
         ] = {}
         self.in_progress = 0
 
@@ -67,17 +65,18 @@
         """
         self.in_progress += 1
         try:
-            result = await self._forward(request, route)
+            run = self._plan(request, route)
+            result = await run.run()
         finally:
             self.in_progress -= 1
-        self._report(request, route, result)
+        _report.report(self._context.metrics, request, route, result, run)
         return result
 
-    async def _forward(
+    def _plan(
         self, request: _call.CallerRequest, route: routing.Route
-    ) -> _result.ForwardResult:
+    ) -> _search.Search | _single.Single:
         if route.is_search:
-            search = _search.Search(
+            return _search.Search(
                 self._context,
                 request,
                 route,
@@ -85,10 +84,8 @@
                 _search.least_parts(route),
                 self._delegation,
             )
-            return await search.run()
         service = self._split(route).next()
-        single = _single.Single(self._context, request, route, service)
-        return await single.run()
+        return _single.Single(self._context, request, route, service)
 
     async def gather(
         self,
@@ -112,40 +109,11 @@
         finally:
             self.in_progress -= 1
 
-    def _split(self, route: routing.Route) -> routing.WeightedSplit:
+    def _split(self, route: routing.Route) -> routing.ServiceSplit:
         split = self._splits.get(route.parts)
         if split is None:
             if len(self._splits) >= _MAX_SPLITS:
                 self._splits.clear()
-            split = routing.WeightedSplit(route.parts)
+            split = routing.ServiceSplit(route.parts)
             self._splits[route.parts] = split
         return split
-
-    def _report(
-        self,
-        request: _call.CallerRequest,
-        route: routing.Route,
-        result: _result.ForwardResult,
-    ) -> None:
-        took_s = trio.current_time() - request.received_s
-        metrics = self._context.metrics
-        kind = "search" if route.is_search else "single"
-        metrics.latency_s.labels(kind).observe(took_s)
-        outcome = "answered"
-        if isinstance(result, _result.Refused):
-            outcome = result.reason.value
-            _LOG.info(
-                "forward: request %s on route %s refused after %.0f ms: "
-                "%s (%s); not run: %s; retry after: %s s",
-                request.request_id.decode("latin-1"),
-                route.name,
-                took_s * 1000,
-                result.reason.value,
-                result.detail,
-                result.not_run,
-                result.retry_after_s,
-            )
-        elif isinstance(result, _result.SearchResult) and result.missing:
-            outcome = "partial"
-            metrics.missing_parts.inc(result.missing)
-        metrics.requests.labels(outcome).inc()
--- a/src/geraniumstair/forward/_link.py
+++ b/src/geraniumstair/forward/_link.py
@@ -12,8 +12,8 @@
 
 import trio
 
+from geraniumstair import calls
 from geraniumstair import discovery
-from geraniumstair import dispatch
 from geraniumstair.forward import _call
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -121,7 +121,7 @@
         self.call: _call.Call | None = None
         self._socket = endpoint_socket
         self._dialect = dialect
-        self._reader = dispatch.ResponseReader(MAX_RESPONSE_BYTES)
+        self._reader = calls.ResponseReader(MAX_RESPONSE_BYTES)
         self._open = True
         self._idle_s = DEFAULT_IDLE_S
         self._idle_since_s = trio.current_time()
@@ -233,7 +233,7 @@
     def _feed(self, owner: LinkOwner, data: bytes) -> None:
         try:
             responses = self._reader.feed_all(data)
-        except dispatch.InvalidResponse as error:
+        except calls.InvalidResponse as error:
             self._detail = f"malformed response: {error}"
             self.close()
             return
@@ -247,7 +247,7 @@
         elif self.call is None and self._open:
             owner.link_free(self)
 
-    def _deliver(self, owner: LinkOwner, response: dispatch.Response) -> None:
+    def _deliver(self, owner: LinkOwner, response: calls.Response) -> None:
         call = self.call
         if call is None:
             self.close()
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -21,6 +21,9 @@
 FAILURE_WEIGHT = 0.2
 # First guess of the time of a call, before there is any sample.
 INITIAL_LATENCY_MS = 30.0
+# Without replies the average loses half of what exceeds the first guess in
+# this time, so that an endpoint that was slow is tried again.
+LATENCY_HALF_LIFE_S = 2.0
 # A call that has lasted this many times the average, and this much longer,
 # shows that its endpoint makes no progress.
 STALLED_FACTOR = 2.5
@@ -100,6 +103,16 @@
         """Connections that are open or being opened."""
         return len(self._links) + self._opening
 
+    def expected_ms(self, now_s: float) -> float:
+        """Returns the expected time of a call."""
+        excess_ms = self.latency_ms - INITIAL_LATENCY_MS
+        if excess_ms <= 0 or self._running:
+            return self.latency_ms
+        idle_s = now_s - self._last_reply_s
+        return INITIAL_LATENCY_MS + excess_ms * 0.5 ** (
+            idle_s / LATENCY_HALF_LIFE_S
+        )
+
     def is_stalled(self, now_s: float) -> bool:
         """True if a running call has lasted suspiciously long."""
         if not self._running:
--- /dev/null
+++ b/src/geraniumstair/forward/_report.py
@@ -0,0 +1,67 @@
+"""Counts requests, and logs those that did not go the plain way."""
+
+from collections.abc import Mapping
+import logging
+from typing import Any
+from typing import Protocol
+
+import trio
+
+from geraniumstair import observe
+from geraniumstair import routing
+from geraniumstair.forward import _call
+from geraniumstair.forward import _metrics
+from geraniumstair.forward import _result
+
+_LOG = logging.getLogger(__name__)
+
+
+class Run(Protocol):
+    """A request that has ended."""
+
+    repeats: int
+
+    def describe(self) -> Mapping[str, Any]:
+        """Returns what its decisions were based on."""
+        ...
+
+
+def report(
+    metrics: _metrics.ForwardMetrics,
+    request: _call.CallerRequest,
+    route: routing.Route,
+    result: _result.ForwardResult,
+    run: Run,
+) -> None:
+    """Counts a request; one line if it was repeated, partial or refused."""
+    took_s = trio.current_time() - request.received_s
+    kind = "search" if route.is_search else "single"
+    metrics.latency_s.labels(kind).observe(took_s)
+    values: dict[str, Any] = {}
+    outcome = "answered"
+    if isinstance(result, _result.Refused):
+        outcome = result.reason.value
+        values["not_run"] = result.not_run
+        values["retry_after_s"] = result.retry_after_s
+        values["detail"] = result.detail
+    elif isinstance(result, _result.SearchResult) and result.missing:
+        outcome = "partial"
+        metrics.missing_parts.inc(result.missing)
+    metrics.requests.labels(outcome).inc()
+    late = took_s * 1000 > route.latency_goal_ms
+    if outcome == "answered" and not late and not run.repeats:
+        return
+    _LOG.info(
+        "forward: request ended",
+        extra=observe.fields(
+            request_id=request.request_id.decode("latin-1"),
+            route=route.name,
+            outcome=outcome,
+            took_ms=round(took_s * 1000, 1),
+            latency_goal_ms=route.latency_goal_ms,
+            remaining_ms=request.remaining_ms,
+            repeats=run.repeats,
+            **values,
+            **run.describe(),
+        ),
+    )
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -1,9 +1,11 @@
 """One search: a call to each shard, repeats, and the merged answer."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import functools
 import logging
 import math
+from typing import Any
 
 import trio
 
@@ -24,6 +26,8 @@
 MAX_REFUSALS = 6
 # How often a node that asks shards is checked; its pings are far slower.
 GROUP_CHECK_S = 0.06
+# Missing shards that one log line names.
+MAX_LOGGED_SHARDS = 6
 
 
 def least_parts(route: routing.Route) -> int:
@@ -35,8 +39,9 @@
 class _Shard:
     """Calls for one part."""
 
-    __slots__ = ("delegated", "failed", "open", "part", "refusals",
-                 "retry_s", "runs", "service", "tried")  # fmt: skip
+    __slots__ = ("delegated", "failed", "failure", "open", "part",
+                 "refusals", "retry_s", "runs", "service",
+                 "tried")  # fmt: skip
 
     def __init__(self, service: str) -> None:
         self.service = service
@@ -47,6 +52,7 @@
         self.retry_s = math.inf
         self.part: _call.Reply | None = None
         self.failed = False
+        self.failure = ""
         self.delegated = False
 
     @property
@@ -87,6 +93,8 @@
         self._delegation = delegation
         self._groups: list[_delegation.PendingGroup] = []
         self._check_s = math.inf
+        self._asked_nodes: list[str] = []
+        self.repeats = 0
         self._answered = 0
         self._failed = 0
         self._hedge_s = math.inf
@@ -154,6 +162,7 @@
                     self._shards[name].delegated = False
             else:
                 self._groups.append(pending)
+                self._asked_nodes.append(group.node_id)
                 self._check_s = now_s + GROUP_CHECK_S
 
     def _group_replied(
@@ -179,6 +188,7 @@
 
     def _take_over(self, shard: _Shard, reply: _delegation.GroupReply) -> None:
         """Asks a shard that another node did not ask, or in vain."""
+        shard.failure = reply.failure or "the other node has no part"
         shard.delegated = False
         budget = self._context.budget
         if not reply.failure:
@@ -262,6 +272,7 @@
         reply: _call.Reply,
         now_s: float,
     ) -> None:
+        shard.failure = f"{call.endpoint_id}: {reply.detail}"
         if reply.outcome.not_run:
             shard.runs -= 1
             shard.refusals += 1
@@ -276,6 +287,7 @@
             self._fail(shard)
             return
         self._context.metrics.extra_calls.labels("retry").inc()
+        self.repeats += 1
         if not self._try_call(shard):
             # Every endpoint was tried; one that did not run it may be asked
             # again a little later.
@@ -328,6 +340,7 @@
                 self._hedge_s = now_s + RETRY_PAUSE_S
             elif self._context.budget.take(shard.service):
                 self._context.metrics.extra_calls.labels("hedge").inc()
+                self.repeats += 1
                 self._submit(shard, replica)
 
     # ---- the end ----
@@ -387,6 +400,24 @@
             replica.abandon(call, now_s)
         shard.open.clear()
 
+    def describe(self) -> Mapping[str, Any]:
+        """Returns what the decisions were based on, for the log."""
+        missing = [s for s in self._shards.values() if s.part is None]
+        return {
+            "parts": self._answered,
+            "shards": len(self._shards),
+            "least_parts": self._least,
+            "asked_nodes": self._asked_nodes,
+            "missing": [
+                {
+                    "shard": shard.service,
+                    "tried": sorted(shard.tried),
+                    "failure": shard.failure,
+                }
+                for shard in missing[:MAX_LOGGED_SHARDS]
+            ],
+        }
+
     def answered_shards(self) -> tuple[str, ...]:
         """Returns the shards with a part, in the order of the signatures."""
         return tuple(
--- a/src/geraniumstair/forward/_single.py
+++ b/src/geraniumstair/forward/_single.py
@@ -1,6 +1,8 @@
 """One request to one endpoint, passed through unchanged."""
 
+from collections.abc import Mapping
 import math
+from typing import Any
 
 import trio
 
@@ -48,6 +50,7 @@
         self._result: _result.ForwardResult | None = None
         # What the caller gets if nothing better comes.
         self._failure: _call.Reply | None = None
+        self.repeats = 0
         self._wake = trio.Event()
 
     async def run(self) -> _result.ForwardResult:
@@ -70,6 +73,17 @@
             for call, replica in self._open.items():
                 replica.abandon(call, now_s)
 
+    def describe(self) -> Mapping[str, Any]:
+        """Returns what the decisions were based on, for the log."""
+        failure = self._failure
+        return {
+            "service": self._service,
+            "idempotent": self._route.idempotent,
+            "tried": sorted(self._tried),
+            "runs": self._runs,
+            "failure": failure.detail if failure is not None else "",
+        }
+
     def _start(self) -> None:
         now_s = trio.current_time()
         self._context.budget.earn(self._service)
@@ -138,6 +152,7 @@
             self._give_up()
             return
         self._context.metrics.extra_calls.labels("retry").inc()
+        self.repeats += 1
         if not self._try_call():
             self._try_later()
 
@@ -172,6 +187,7 @@
         )
         if replica is not None and self._context.budget.take(self._service):
             self._context.metrics.extra_calls.labels("hedge").inc()
+            self.repeats += 1
             self._submit(replica)
 
     def _next_s(self) -> float:
--- a/src/geraniumstair/forward/_timing.py
+++ b/src/geraniumstair/forward/_timing.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from geraniumstair import dispatch
+from geraniumstair import calls
 from geraniumstair import routing
 from geraniumstair.forward import _call
 
@@ -59,13 +59,13 @@
     """Delays after which calls are repeated, learnt for each route."""
 
     def __init__(self) -> None:
-        self._windows: dict[str, dispatch.LatencyWindow] = {}
+        self._windows: dict[str, calls.LatencyWindow] = {}
 
     def add(self, route: routing.Route, latency_ms: float) -> None:
         """Adds the time of one call."""
         window = self._windows.get(route.name)
         if window is None:
-            window = self._windows[route.name] = dispatch.LatencyWindow()
+            window = self._windows[route.name] = calls.LatencyWindow()
         window.add(latency_ms)
 
     def delay_ms(self, route: routing.Route) -> float:
--- a/src/geraniumstair/mirror/_feed.py
+++ b/src/geraniumstair/mirror/_feed.py
@@ -16,8 +16,14 @@
 # sooner.
 WAIT_MS = 4000
 DUTY_CHECK_S = 0.25
+# Changes come in groups; each call returns as soon as there is one.
+BATCH_S = 0.1
 _RETRY_MIN_S = 0.1
+# A node that has nothing to serve from tries more often than one whose peers
+# tell it of changes.
+_RETRY_START_MAX_S = 0.25
 _RETRY_MAX_S = 1.0
+_RETRY_INFORMED_S = 3.0
 # A watch that answered this recently is taken to work.
 WORKING_S = WAIT_MS / 1000 + 1.0
 
@@ -77,18 +83,21 @@
 
     async def run(self) -> None:
         """Feeds the mirror for ever."""
-        while not await self._read_all():
-            await self._pause()
+        while not self._mirror.position and not await self._read_all():
+            await self._pause(_RETRY_START_MAX_S)
         while True:
             if not self._duty.required:
                 await trio.sleep(DUTY_CHECK_S)
                 continue
             if not await self._follow():
-                await self._pause()
+                informed = self._duty.informed
+                await self._pause(
+                    _RETRY_INFORMED_S if informed else _RETRY_MAX_S
+                )
 
-    async def _pause(self) -> None:
+    async def _pause(self, most_s: float) -> None:
         await trio.sleep(self._retry_s)
-        self._retry_s = min(2 * self._retry_s, _RETRY_MAX_S)
+        self._retry_s = min(2 * self._retry_s, most_s)
 
     async def _read_all(self) -> bool:
         reading = await self._source.read_all()
@@ -115,7 +124,8 @@
             return False
         items, position = changes.ok_value
         self._note_answer()
-        self._mirror.apply(items, position)
+        if self._mirror.apply(items, position) and items:
+            await trio.sleep(BATCH_S)
         return True
 
     def _note_answer(self) -> None:
--- a/src/geraniumstair/mirror/_watchers.py
+++ b/src/geraniumstair/mirror/_watchers.py
@@ -41,9 +41,13 @@
         """Notes that a peer's watch of the store works."""
         self._heard_s = self._clock()
 
+    @property
+    def informed(self) -> bool:
+        """True if a peer whose watch works is heard."""
+        return self._clock() - self._heard_s <= SILENCE_S
+
     @property
     def required(self) -> bool:
         """True if this node is one of the first, or no watcher is heard."""
-        if self._node_id in rank(self._members)[:WATCHERS]:
-            return True
-        return self._clock() - self._heard_s > SILENCE_S
+        first = rank(self._members)[:WATCHERS]
+        return self._node_id in first or not self.informed
--- a/src/geraniumstair/observe/__init__.py
+++ b/src/geraniumstair/observe/__init__.py
@@ -1,17 +1,21 @@
 """Logs, metrics and the state dump."""
 
+from geraniumstair.observe._logging import NonBlockingHandler
 from geraniumstair.observe._logging import RateLimitFilter
 from geraniumstair.observe._logging import component_logger
 from geraniumstair.observe._logging import configure_logging
+from geraniumstair.observe._logging import fields
 from geraniumstair.observe._metrics import MetricsRegistry
 from geraniumstair.observe._metrics import process_metrics
 from geraniumstair.observe._state_dump import StateDump
 
 __all__ = [
     "MetricsRegistry",
+    "NonBlockingHandler",
     "RateLimitFilter",
     "StateDump",
     "component_logger",
     "configure_logging",
+    "fields",
     "process_metrics",
 ]
--- a/src/geraniumstair/observe/_logging.py
+++ b/src/geraniumstair/observe/_logging.py
@@ -1,13 +1,16 @@
 """Logging setup: one prefix per component, repeated messages rate-limited."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
 import json
 import logging
+import os
 import sys
 import time
 from typing import IO
+from typing import Any
 from typing import Literal
 
 _ROOT_NAME = "geraniumstair"
@@ -16,6 +19,8 @@
 _RATE_LIMIT_BURST = 10
 _RATE_LIMIT_WINDOW_S = 10.0
 _RATE_LIMIT_KEYS = 1000
+# A pipe takes a line of up to this size whole or not at all.
+_ATOMIC_WRITE_BYTES = 4096
 
 
 class _Window:
@@ -83,6 +88,50 @@
             self._windows.clear()
 
 
+def fields(**values: Any) -> dict[str, Any]:
+    """Returns values that a JSON log line shows beside its message.
+
+    Use it as `extra` of a logging call. Names carry their unit.
+    """
+    return {"fields": values}
+
+
+class NonBlockingHandler(logging.Handler):
+    """Writes lines to a file descriptor without ever waiting for it.
+
+    A line that a full pipe does not take is dropped and counted; the next
+    line that is written says how many there were.
+
+    Args:
+        descriptor: File descriptor; it is made non-blocking.
+
+    Attributes:
+        dropped_lines: Lines that were not written.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._unreported = 0
+        self.dropped_lines = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes one record or drops it."""
+        if self._unreported:
+            record.lines_dropped = self._unreported
+        line = self.format(record).encode("utf-8", "replace")
+        line = line[: _ATOMIC_WRITE_BYTES - 1] + b"\n"
+        try:
+            os.write(self._descriptor, line)
+        except OSError:
+            # Nobody reads the log fast enough, or at all.
+            self._unreported += 1
+            self.dropped_lines += 1
+        else:
+            self._unreported = 0
+
+
 class _Formatter(logging.Formatter):
     """Removes secrets from the whole text, tracebacks included."""
 
@@ -122,16 +171,22 @@
 
 class _JsonFormatter(_Formatter):
     def format(self, record: logging.LogRecord) -> str:
-        fields = {
+        line: dict[str, Any] = {
             "time": _timestamp(record),
             "level": record.levelname,
             "component": _component(record),
             "message": self._message(record),
         }
+        values: Mapping[str, Any] = getattr(record, "fields", {})
+        for name, value in values.items():
+            line[name] = self._redact(value) if type(value) is str else value
+        dropped = getattr(record, "lines_dropped", 0)
+        if dropped:
+            line["lines_dropped"] = dropped
         traceback = self._traceback(record)
         if traceback:
-            fields["traceback"] = traceback
-        return json.dumps(fields)
+            line["traceback"] = traceback
+        return json.dumps(line, default=str)
 
 
 def _timestamp(record: logging.LogRecord) -> str:
@@ -155,6 +210,8 @@
     *,
     secrets: Sequence[str] = (),
     stream: IO[str] | None = None,
+    handler: logging.Handler | None = None,
+    burst: int = _RATE_LIMIT_BURST,
 ) -> None:
     """Sets up logging of the whole process, replacing an earlier setup.
 
@@ -164,13 +221,16 @@
             WARNING, since their debug lines may hold request bodies.
         secrets: Texts that never appear in the log.
         stream: Where lines go; standard error if None.
+        handler: Writes the lines; None writes them to the stream.
+        burst: Alike lines that are written in each window.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    if handler is None:
+        handler = logging.StreamHandler(stream or sys.stderr)
     if log_format == "json":
         handler.setFormatter(_JsonFormatter(secrets))
     else:
         handler.setFormatter(_HumanFormatter(secrets))
-    handler.addFilter(RateLimitFilter())
+    handler.addFilter(RateLimitFilter(burst))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.WARNING)
--- a/src/geraniumstair/platform/__main__.py
+++ b/src/geraniumstair/platform/__main__.py
@@ -19,6 +19,9 @@
 # The platform names the settings file in this variable.
 SETTINGS_VARIABLE = "GERANIUMSTAIR_BOOT"
 UNUSABLE_SETTINGS_STATUS = 2
+# Lines with the same message in ten seconds; enough for each failed request
+# of a small site, and a bound under load.
+LOG_LINES_OF_A_KIND = 200
 
 
 async def _run(settings: _settings.PlatformSettings) -> None:
@@ -34,7 +37,16 @@
 
 def main() -> int:
     """Runs a node; returns the exit status."""
-    observe.configure_logging("json", "INFO", stream=sys.stdout)
+    handler = observe.NonBlockingHandler(sys.stdout.fileno())
+    observe.configure_logging(
+        "json", "INFO", handler=handler, burst=LOG_LINES_OF_A_KIND
+    )
+    observe.process_metrics().gauge(
+        "log",
+        "dropped_lines",
+        "Log lines that were dropped because nobody read them in time.",
+        lambda: handler.dropped_lines,
+    )
     path = os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
         _LOG.error("platform: %s names no settings file", SETTINGS_VARIABLE)
--- a/src/geraniumstair/platform/_http.py
+++ b/src/geraniumstair/platform/_http.py
@@ -2,7 +2,7 @@
 
 import result
 
-from geraniumstair import dispatch
+from geraniumstair import calls
 from geraniumstair import edge
 from geraniumstair import forward
 
@@ -183,7 +183,7 @@
         return _PreparedRequest(request)
 
     def classify(
-        self, response: dispatch.Response, request_id: bytes
+        self, response: calls.Response, request_id: bytes
     ) -> forward.Reply | None:
         """Tells what a response means; None if it is another request's."""
         headers = response.headers
@@ -198,7 +198,7 @@
             return forward.Reply(forward.Outcome.REJECTED, detail, status)
         return _classify_run(response)
 
-    def idle_limit_s(self, response: dispatch.Response) -> float | None:
+    def idle_limit_s(self, response: calls.Response) -> float | None:
         """Returns how long the connection may stay idle, if it is known."""
         value = response.headers.get(b"keep-alive", b"")
         for parameter in value.split(b","):
@@ -208,7 +208,7 @@
         return None
 
 
-def _classify_run(response: dispatch.Response) -> forward.Reply:
+def _classify_run(response: calls.Response) -> forward.Reply:
     headers = response.headers
     signature = headers.get(_SIGNATURE, b"")
     encoding = headers.get(b"content-encoding", b"identity")
--- a/src/geraniumstair/platform/_settings.py
+++ b/src/geraniumstair/platform/_settings.py
@@ -1,10 +1,10 @@
 """Reads the settings file that the platform writes for a process."""
 
 import hashlib
-import json
 import pathlib
+from typing import Annotated
 
-import pydantic
+import msgspec
 
 from geraniumstair import edge
 from geraniumstair import errors
@@ -16,51 +16,42 @@
 # one is preferred while it is not much busier.
 REMOTE_COST_MS = 60.0
 
+# msgspec is used in place of pydantic, whose import alone delays the start of
+# a node by a tenth of a second.
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Ports = Annotated[list[int], msgspec.Meta(min_length=2)]
 
-def _model(**kwargs: object) -> pydantic.ConfigDict:
-    return pydantic.ConfigDict(
-        extra="ignore", frozen=True, populate_by_name=True
-    )
-
-
-class _Listen(pydantic.BaseModel):
-    model_config = _model()
 
-    callers: str = pydantic.Field(alias="Front")
-    readiness: str = pydantic.Field(alias="Ready")
+class _Listen(msgspec.Struct, frozen=True):
+    callers: str = msgspec.field(name="Front")
+    readiness: str = msgspec.field(name="Ready")
     # The platform calls the listener for other nodes Control.
-    peer: str = pydantic.Field(alias="Control")
-
-
-class _Bounds(pydantic.BaseModel):
-    model_config = _model()
+    peer: str = msgspec.field(name="Control")
 
-    grace_s: float = pydantic.Field(6.0, alias="GraceS")
-    retry_budget_ratio: float = pydantic.Field(0.2, alias="RetryBudgetRatio")
-    budget_window_s: float = pydantic.Field(10.0, alias="BudgetWindowS")
-    budget_slack: float = pydantic.Field(20.0, alias="BudgetSlack")
 
+class _Bounds(msgspec.Struct, frozen=True):
+    grace_s: float = msgspec.field(name="GraceS", default=6.0)
+    retry_budget_ratio: float = msgspec.field(
+        name="RetryBudgetRatio", default=0.2
+    )
+    budget_window_s: float = msgspec.field(name="BudgetWindowS", default=10.0)
+    budget_slack: float = msgspec.field(name="BudgetSlack", default=20.0)
 
-class _StoreAddress(pydantic.BaseModel):
-    model_config = _model()
 
-    address: str = pydantic.Field(alias="Address")
+class _StoreAddress(msgspec.Struct, frozen=True):
+    address: str = msgspec.field(name="Address")
 
 
-class PlatformSettings(pydantic.BaseModel):
+class PlatformSettings(msgspec.Struct, frozen=True):
     """The fields of the platform's settings file that are used."""
 
-    model_config = _model()
-
-    node_id: str = pydantic.Field(alias="NodeName", min_length=1)
-    availability_zone: str = pydantic.Field(alias="Zone", min_length=1)
-    listen: _Listen = pydantic.Field(alias="Listen")
-    internal_ports: list[int] = pydantic.Field(
-        alias="InternalPorts", min_length=2
-    )
-    seeds: list[str] = pydantic.Field(default_factory=list, alias="Seeds")
-    bounds: _Bounds = pydantic.Field(alias="Bounds")
-    store: _StoreAddress = pydantic.Field(alias="platform")
+    node_id: _Name = msgspec.field(name="NodeName")
+    availability_zone: _Name = msgspec.field(name="Zone")
+    listen: _Listen = msgspec.field(name="Listen")
+    internal_ports: _Ports = msgspec.field(name="InternalPorts")
+    bounds: _Bounds = msgspec.field(name="Bounds")
+    store: _StoreAddress = msgspec.field(name="platform")
+    seeds: list[str] = msgspec.field(name="Seeds", default_factory=list)
 
 
 def load_settings(path: str) -> PlatformSettings:
@@ -70,11 +61,12 @@
         SettingsError: The file cannot be read or is not valid.
     """
     try:
-        fields = json.loads(pathlib.Path(path).read_bytes())
-        return PlatformSettings.model_validate(fields)
+        return msgspec.json.decode(
+            pathlib.Path(path).read_bytes(), type=PlatformSettings
+        )
     except OSError as error:
         raise errors.SettingsError(f"cannot read {path}: {error}") from error
-    except ValueError as error:
+    except msgspec.MsgspecError as error:
         raise errors.SettingsError(f"{path} is not valid: {error}") from error
 
 
--- a/src/geraniumstair/routing/__init__.py
+++ b/src/geraniumstair/routing/__init__.py
@@ -1,6 +1,6 @@
 """Routes of callers' requests, and the services that they lead to."""
 
-from geraniumstair.routing._split import WeightedSplit
+from geraniumstair.routing._split import ServiceSplit
 from geraniumstair.routing._table import CallerLimits
 from geraniumstair.routing._table import Route
 from geraniumstair.routing._table import RouteTable
@@ -13,5 +13,5 @@
     "RouteTable",
     "ServiceLimits",
     "SplitPart",
-    "WeightedSplit",
+    "ServiceSplit",
 ]
--- a/src/geraniumstair/routing/_split.py
+++ b/src/geraniumstair/routing/_split.py
@@ -5,7 +5,7 @@
 from geraniumstair.routing import _table
 
 
-class WeightedSplit:
+class ServiceSplit:
     """Deals requests to services in proportion to their weights.
 
     Smooth weighted round robin: after any number of requests each service
--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -10,8 +10,8 @@
 import result
 import trio
 
+from geraniumstair import calls
 from geraniumstair import discovery
-from geraniumstair import dispatch
 from geraniumstair import forward
 from geraniumstair import mirror
 from geraniumstair import peers
@@ -121,12 +121,12 @@
         return Prepared(request.request_id)
 
     def classify(
-        self, response: dispatch.Response, request_id: bytes
+        self, response: calls.Response, request_id: bytes
     ) -> forward.Reply | None:
         """Is not called."""
         raise AssertionError
 
-    def idle_limit_s(self, response: dispatch.Response) -> float | None:
+    def idle_limit_s(self, response: calls.Response) -> float | None:
         """Is not called."""
         raise AssertionError
 
@@ -404,13 +404,13 @@
 
 def response(
     status: int = 200, body: bytes = b"", **headers: str
-) -> dispatch.Response:
+) -> calls.Response:
     """Returns a response; underscores in header names become dashes."""
     fields = [
         (name.replace("_", "-").encode(), value.encode())
         for name, value in headers.items()
     ]
-    return dispatch.Response(status, fields, body)
+    return calls.Response(status, fields, body)
 
 
 class DirectNetwork(FakeNetwork):
--- a/tests/test_dispatch_parts.py
+++ b/tests/test_dispatch_parts.py
@@ -4,9 +4,9 @@
 import random
 import unittest
 
+from geraniumstair import calls
 from geraniumstair import rollout
 from geraniumstair.dispatch import _budget
-from geraniumstair.dispatch import _latency
 from geraniumstair.dispatch import _queue
 from geraniumstair.dispatch import _ramp
 from geraniumstair.dispatch import _shedding
@@ -80,7 +80,7 @@
 
     def test_quantiles_match_the_last_samples(self) -> None:
         rng = random.Random(1)
-        window = _latency.LatencyWindow(50)
+        window = calls.LatencyWindow(50)
         samples = [rng.choice([1.0, 2.0, rng.random()]) for _ in range(400)]
         for count, sample in enumerate(samples, 1):
             window.add(sample)
--- a/tests/test_forward_link.py
+++ b/tests/test_forward_link.py
@@ -6,7 +6,7 @@
 import trio
 import trio.testing
 
-from geraniumstair import dispatch
+from geraniumstair import calls
 from geraniumstair import forward
 from geraniumstair.forward import _link
 from geraniumstair.platform import _http
@@ -129,7 +129,7 @@
     """Guards against responses that are taken for whole although cut off."""
 
     def test_several_responses_in_one_read_are_told_apart(self) -> None:
-        reader = dispatch.ResponseReader(1000)
+        reader = calls.ResponseReader(1000)
         data = _answer(b"q1", b"one") + _answer(b"q2", b"two")
         bodies = [r.body for r in reader.feed_all(data)]
         self.assertEqual(bodies, [b"one", b"two"])
@@ -137,12 +137,12 @@
         self.assertFalse(reader.started)
 
     def test_the_end_completes_only_what_has_no_length(self) -> None:
-        reader = dispatch.ResponseReader(1000)
+        reader = calls.ResponseReader(1000)
         self.assertIsNone(reader.finish())
-        reader = dispatch.ResponseReader(1000)
+        reader = calls.ResponseReader(1000)
         reader.feed_all(_HEAD % b"q1" + b"\r\nbody")
         self.assertEqual(reader.finish().body, b"body")
-        reader = dispatch.ResponseReader(1000)
+        reader = calls.ResponseReader(1000)
         chunked = b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
         reader.feed_all(_HEAD % b"q1" + chunked)
         self.assertIsNone(reader.finish())
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -3,6 +3,7 @@
 import io
 import json
 import logging
+import os
 import unittest
 
 from geraniumstair import observe
@@ -143,3 +144,39 @@
         dump.register("a", dict)
         with self.assertRaises(ValueError):
             dump.register("a", dict)
+
+
+class NonBlockingHandlerTest(unittest.TestCase):
+    """Guards against a process that waits for a reader of its log."""
+
+    def test_lines_beyond_a_full_pipe_are_dropped_and_counted(self) -> None:
+        reader, writer = os.pipe()
+        handler = observe.NonBlockingHandler(writer)
+        handler.setFormatter(logging.Formatter("%(message)s"))
+        record = logging.LogRecord("x", 20, "", 0, "y" * 2000, (), None)
+        for _ in range(100):
+            handler.emit(record)
+        self.assertGreater(handler.dropped_lines, 0)
+        os.read(reader, 65536)
+        handler.emit(record)
+        self.assertEqual(record.lines_dropped, handler.dropped_lines)
+        os.close(reader)
+        os.close(writer)
+
+
+class FieldsTest(unittest.TestCase):
+    """Guards against log lines without the inputs of a decision."""
+
+    def test_json_lines_show_the_fields_without_secrets(self) -> None:
+        stream = io.StringIO()
+        observe.configure_logging(
+            "json", "INFO", secrets=["hidden"], stream=stream
+        )
+        self.addCleanup(logging.getLogger().handlers.clear)
+        logging.getLogger("geraniumstair.edge").info(
+            "edge: done", extra=observe.fields(took_ms=1.5, why="a hidden b")
+        )
+        line = json.loads(stream.getvalue())
+        self.assertEqual(line["message"], "done")
+        self.assertEqual(line["took_ms"], 1.5)
+        self.assertEqual(line["why"], "a [redacted] b")
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -27,7 +27,7 @@
         self.assertEqual(table.service_limits("x"), routing.ServiceLimits())
 
 
-class WeightedSplitTest(unittest.TestCase):
+class ServiceSplitTest(unittest.TestCase):
     """Guards against shares that drift from their weights."""
 
     def test_each_service_stays_within_one_request_of_its_share(self) -> None:
@@ -36,7 +36,7 @@
             routing.SplitPart("y", 2),
             routing.SplitPart("z", 1),
         ]
-        split = routing.WeightedSplit(parts)
+        split = routing.ServiceSplit(parts)
         counts: collections.Counter[str] = collections.Counter()
         for number in range(1, 201):
             counts[split.next()] += 1
@@ -46,5 +46,5 @@
 
     def test_a_service_without_weight_gets_nothing(self) -> None:
         parts = [routing.SplitPart("x", 0), routing.SplitPart("y", 1)]
-        split = routing.WeightedSplit(parts)
+        split = routing.ServiceSplit(parts)
         self.assertEqual({split.next() for _ in range(9)}, {"y"})
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from tools import check_platform
 from tools import check_style
 
 
@@ -29,3 +30,27 @@
         text = "docs/work/x\n" + "/" + "home/someone/x\n/tmp/devsite-1\n"
         faults = check_style.check_machine_paths(text, "page.md")
         self.assertEqual(faults, ["page.md:2: names a path of a machine"])
+
+
+class CheckPlatformTest(unittest.TestCase):
+    """Guards against names of the platform that spread into the product."""
+
+    def test_names_are_read_from_literals(self) -> None:
+        source = 'A = b"x-odd-name"\nB = "FieldName"\nC = "op/config"\nD = "s"'
+        self.assertEqual(
+            check_platform.platform_names(source),
+            {"x-odd-name", "FieldName", "op/config"},
+        )
+
+    def test_names_and_imports_outside_the_folder_are_faults(self) -> None:
+        names = {"FieldName"}
+        for source, count in (
+            ('a = "FieldName"', 1),
+            ('a = b"FieldName"', 1),
+            ("from geraniumstair.platform import _http", 1),
+            ("import geraniumstair.platform._http", 1),
+            ("from geraniumstair import platform", 1),
+            ("import platform\nfield_name = 1", 0),
+        ):
+            faults = check_platform.find_faults(source, "m.py", names)
+            self.assertEqual(len(faults), count, source)
