Divide large searches into groups of shards with fixed nodes

Cause: on the grown sites each of 87 nodes called 90 shards itself.

Searches of 45 shards or more are divided into groups of ten. All nodes of a zone ask the same node for a group, so its connections stay in use and the bytes stay in the zone. Notices of changes go to neighbours on a ring in the zone and through three nodes to other zones. The time kept back for the answer depends on the node's cores. Leases last 30 s. Watch duty passes to twice as many nodes each time that no watcher is heard, instead of to all at once. The listener closes after 45% of the grace time, since 4 processes of 64 were killed at its end.

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -623,11 +623,14 @@
     """
     Greatest revision of an item in the mirror.
     """
-    watching: Annotated[
-        bool, Meta(description="This node's own watch of the store works.")
+    watch_age_ms: Annotated[
+        float,
+        Meta(
+            description="Time since some node's watch of the store worked; negative if unknown."
+        ),
     ]
     """
-    This node's own watch of the store works.
+    Time since some node's watch of the store worked; negative if unknown.
     """
 
 
--- a/src/geraniumstair/edge/_lifecycle.py
+++ b/src/geraniumstair/edge/_lifecycle.py
@@ -7,9 +7,10 @@
 _LOG = logging.getLogger(__name__)
 # The balancer asks each second and needs two misses; new connections arrive
 # until then. The listener stays open a little longer.
-ACCEPT_PART = 0.55
-# The end of the grace time is left for closing.
-RESERVE_PART = 0.1
+ACCEPT_PART = 0.45
+# The end of the grace time is left for closing, which takes a node of half a
+# core up to a second.
+RESERVE_PART = 0.2
 
 
 class Lifecycle:
--- a/src/geraniumstair/edge/_node.py
+++ b/src/geraniumstair/edge/_node.py
@@ -46,6 +46,7 @@
         grace_s: Time between the signal to end and the kill.
         budget: Repeats that the site allows each service.
         remote_cost_ms: What a call to another availability zone costs.
+        processor_cores: Processor time that the node may use, in cores.
     """
 
     node_id: str
@@ -60,6 +61,7 @@
     grace_s: float
     budget: forward.BudgetLimits
     remote_cost_ms: float
+    processor_cores: float
 
 
 class Store(mirror.StoreSource, _presence.LeaseStore, Protocol):
@@ -149,10 +151,12 @@
             random.Random(),
         )
         self._pool = pool
+        self._budget.set_users(pool.users)
         state = _state.DesiredState(
             self._adapters.decoder, self._registry, pool
         )
         self._delegation = forward.Delegation(
+            settings.node_id,
             settings.availability_zone,
             pool,
             self._network,
@@ -165,6 +169,7 @@
             self._adapters.dialect,
             metrics,
             self._delegation,
+            forward.Margins.for_cores(settings.processor_cores),
         )
         forward.PartsServer(self._network, state, forwarder, self._lifecycle)
         self._mirror.subscribe(state.adopt)
@@ -242,8 +247,10 @@
     def _set_members(self, zones: Mapping[str, str]) -> None:
         members = frozenset(zones)
         self._delegation.set_zones(zones)
+        self._gossip.set_neighbours(
+            _presence.neighbours(self._settings.node_id, zones)
+        )
         self._duty.set_members(members)
-        self._budget.set_nodes(len(members))
         self._pool.set_members(members)
 
     async def _stop(self) -> None:
--- a/src/geraniumstair/edge/_presence.py
+++ b/src/geraniumstair/edge/_presence.py
@@ -1,7 +1,6 @@
 """Which nodes are there: keys with leases in the store, and open streams."""
 
 from collections.abc import Callable
-from collections.abc import Collection
 from collections.abc import Mapping
 import dataclasses
 import json
@@ -11,18 +10,22 @@
 import result
 import trio
 
+from geraniumstair import forward
 from geraniumstair import mirror
 from geraniumstair import peers
 from geraniumstair import store
 
 _LOG = logging.getLogger(__name__)
 KEY_PREFIX = "geraniumstair/nodes/"
-LEASE_TTL_S = 8
-RENEW_INTERVAL_S = 2.5
+# A lease outlives two lost renewals. A node that has gone is seen by its
+# closed streams long before, so few renewals are worth more than short leases.
+LEASE_TTL_S = 30
+RENEW_INTERVAL_S = 8.0
 RETRY_S = 0.5
-# Above this number a node keeps streams to some of the others only; their
-# distances double, so a change crosses any site in a few hops.
+# Above this number a node keeps streams to some of the others only.
 FULL_MESH_NODES = 10
+# Nodes of each availability zone that keep streams to those of the others.
+ZONE_LINK_NODES = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,24 +79,36 @@
         """Replaces the nodes to which streams are maintained."""
 
 
-def neighbours(node_id: str, members: Collection[str]) -> frozenset[str]:
-    """Returns the nodes that a node keeps streams to.
+def neighbours(node_id: str, zones: Mapping[str, str]) -> frozenset[str]:
+    """Returns the nodes that a node passes changes on to.
+
+    In a zone, the distances on a ring double, so that a change crosses it in
+    a few hops. A few nodes of each zone pass it to the other zones, since
+    bytes between zones cost more.
 
     Args:
         node_id: The node.
-        members: All nodes.
+        zones: Availability zone of each node.
     """
-    others = frozenset(members) - {node_id}
+    others = frozenset(zones) - {node_id}
     if len(others) < FULL_MESH_NODES:
         return others
-    ring = sorted({*members, node_id})
+    own_zone = zones.get(node_id, "")
+    by_zone: dict[str, list[str]] = {own_zone: []}
+    for name in sorted({*zones, node_id}):
+        by_zone.setdefault(zones.get(name, ""), []).append(name)
+    ring = by_zone[own_zone]
     own = ring.index(node_id)
     chosen = set()
     distance = 1
     while distance < len(ring):
         chosen.add(ring[(own + distance) % len(ring)])
+        chosen.add(ring[(own - distance) % len(ring)])
         distance *= 2
-    return frozenset(chosen)
+    if own < ZONE_LINK_NODES:
+        for names in by_zone.values():
+            chosen.update(names[:ZONE_LINK_NODES])
+    return frozenset(chosen) - {node_id}
 
 
 class Presence:
@@ -207,15 +222,21 @@
             sorted(self._members - members),
         )
         self._members = members
-        chosen = neighbours(self._node_id, members)
-        self._network.set_peers(
-            {n: m.address for n, m in registered.items() if n in chosen}
-        )
         zones = dict.fromkeys(members, "")
         zones |= {n: m.availability_zone for n, m in registered.items()}
         zones[self._node_id] = self._member.availability_zone
+        chosen = neighbours(self._node_id, zones) | self._asked(registered)
+        self._network.set_peers(
+            {n: m.address for n, m in registered.items() if n in chosen}
+        )
         self._changed(zones)
 
+    def _asked(self, registered: Mapping[str, Member]) -> frozenset[str]:
+        """Returns the nodes that ask shards for others."""
+        zones = {n: m.availability_zone for n, m in registered.items()}
+        by_zone = forward.group_nodes(zones)
+        return frozenset(n for nodes in by_zone.values() for n in nodes)
+
     def _read_registered(self) -> None:
         if self._read_at == self._view.newest:
             return
--- a/src/geraniumstair/forward/__init__.py
+++ b/src/geraniumstair/forward/__init__.py
@@ -9,6 +9,7 @@
 from geraniumstair.forward._call import PreparedRequest
 from geraniumstair.forward._call import Reply
 from geraniumstair.forward._delegation import Delegation
+from geraniumstair.forward._delegation import group_nodes
 from geraniumstair.forward._endpoints import EndpointPool
 from geraniumstair.forward._endpoints import PoolSettings
 from geraniumstair.forward._forwarder import Forwarder
@@ -25,6 +26,7 @@
 from geraniumstair.forward._result import Refused
 from geraniumstair.forward._result import SearchResult
 from geraniumstair.forward._result import SingleResult
+from geraniumstair.forward._timing import Margins
 
 __all__ = [
     "RECORD_BYTES",
@@ -39,6 +41,7 @@
     "Forwarder",
     "Link",
     "LinkFactory",
+    "Margins",
     "Outcome",
     "PartsServer",
     "PoolSettings",
@@ -52,4 +55,5 @@
     "SingleResult",
     "TcpLinkFactory",
     "greatest_records",
+    "group_nodes",
 ]
--- a/src/geraniumstair/forward/_budget.py
+++ b/src/geraniumstair/forward/_budget.py
@@ -54,15 +54,14 @@
         self._limits = limits
         self._clock = clock
         self._buckets: dict[str, _Bucket] = {}
-        self._nodes = 1
+        self._users: Callable[[str], int] = _one
 
-    def set_nodes(self, nodes: int) -> None:
-        """Sets the number of nodes that share the fixed number."""
-        self._nodes = max(1, nodes)
+    def set_users(self, users: Callable[[str], int]) -> None:
+        """Sets what tells how many nodes call a service."""
+        self._users = users
 
-    @property
-    def _slack(self) -> float:
-        return USED_PART * self._limits.slack / self._nodes
+    def _slack(self, service: str) -> float:
+        return USED_PART * self._limits.slack / max(1, self._users(service))
 
     def earn(self, service: str) -> None:
         """Counts the first call of a request to a service."""
@@ -79,11 +78,11 @@
 
     def share_left(self, service: str) -> float:
         """Returns how much of the largest possible budget is left, 0 to 1."""
-        return min(1.0, self._bucket(service).tokens / self._capacity)
+        capacity = self._capacity(service)
+        return min(1.0, self._bucket(service).tokens / capacity)
 
-    @property
-    def _capacity(self) -> float:
-        return max(1.0, BURST_PART * self._slack)
+    def _capacity(self, service: str) -> float:
+        return max(1.0, BURST_PART * self._slack(service))
 
     def _bucket(self, service: str) -> _Bucket:
         now_s = self._clock()
@@ -91,14 +90,19 @@
         if bucket is None:
             # A process that has just started may follow one that has spent
             # its part, so it starts with less than a full bucket.
-            bucket = _Bucket(max(1.0, self._capacity / 2), now_s)
+            bucket = _Bucket(max(1.0, self._capacity(service) / 2), now_s)
             self._buckets[service] = bucket
             return bucket
         refill_s = now_s - bucket.filled_s
         bucket.filled_s = now_s
-        per_s = (1 - BURST_PART) * self._slack / self._limits.window_s
+        per_s = (1 - BURST_PART) * self._slack(service) / self._limits.window_s
+        capacity = self._capacity(service)
         # What requests earn may exceed the burst for a while.
-        greatest = max(self._capacity, bucket.tokens)
+        greatest = max(capacity, bucket.tokens)
         bucket.tokens = min(greatest, bucket.tokens + per_s * refill_s)
-        bucket.tokens = min(bucket.tokens, 3 * self._capacity)
+        bucket.tokens = min(bucket.tokens, 3 * capacity)
         return bucket
+
+
+def _one(service: str) -> int:
+    return 1
--- a/src/geraniumstair/forward/_context.py
+++ b/src/geraniumstair/forward/_context.py
@@ -24,6 +24,7 @@
     dialect: _call.Dialect
     metrics: _metrics.ForwardMetrics
     delays: _timing.HedgeDelays
+    margins: _timing.Margins
 
     def retry_after_s(self, service: str) -> float:
         """Returns when a caller that was refused should come back."""
--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -2,8 +2,15 @@
 
 A node whose availability zone has no endpoint of a shard would move the part
 across zones. A node beside the endpoints of several such shards moves one
-merged answer instead, with a tenth of the bytes. A search may run twice, so
-the asking node makes the calls itself if the other one fails.
+merged answer instead, with a tenth of the bytes.
+
+A search of very many shards takes long on one node, and a site with many
+nodes has not enough connections for every pair of node and endpoint. So its
+shards are divided into groups, each asked through the same few nodes, whose
+connections stay in use.
+
+A search may run twice, so the asking node makes the calls itself if the other
+one fails.
 """
 
 from collections.abc import Callable
@@ -19,6 +26,7 @@
 
 import result
 import trio
+import xxhash
 
 from geraniumstair import _struct
 from geraniumstair import peers
@@ -30,12 +38,13 @@
 _LOG = logging.getLogger(__name__)
 # Fewer shards don't outweigh the message and the time of the hop.
 LEAST_SHARDS = 3
+GROUP_SHARDS = 10
+# Nodes of an availability zone that ask shards for the others.
+GROUP_NODES_PER_ZONE = 12
 # The groups are worked out again after this time.
 PLAN_LIFETIME_S = 0.1
 # A node that failed is not asked for this time.
 AVOID_S = 1.5
-# Time for the reply to come back and be merged.
-HOP_MS = 6.0
 # Weight of a new sample in the moving average of a node's time.
 LATENCY_WEIGHT = 0.1
 INITIAL_LATENCY_MS = 30.0
@@ -123,7 +132,8 @@
     """Asks other nodes for parts.
 
     Args:
-        availability_zone: Where this node runs.
+        node_id: This node.
+        availability_zone: Where it runs.
         pool: The endpoints.
         network: Streams to peers.
         routes: The routes in force.
@@ -132,12 +142,14 @@
 
     def __init__(
         self,
+        node_id: str,
         availability_zone: str,
         pool: _endpoints.EndpointPool,
         network: Network,
         routes: Routes,
         rng: random.Random,
     ) -> None:
+        self._node_id = node_id
         self._zone = availability_zone
         self._pool = pool
         self._network = network
@@ -147,12 +159,14 @@
         self._avoid_until_s: dict[str, float] = {}
         self._outstanding: dict[str, int] = {}
         self._latency_ms: dict[str, float] = {}
-        self._plans: dict[str, tuple[float, list[tuple[str, list[str]]]]] = {}
+        self._plans: dict[str, tuple[float, list[_ZoneGroup]]] = {}
+        self._group_nodes: dict[str, list[str]] = {}
         self._ids = itertools.count(1)
 
     def set_zones(self, zones: Mapping[str, str]) -> None:
         """Sets the availability zone of each node."""
         self._zones = dict(zones)
+        self._group_nodes = group_nodes(zones)
         self._plans.clear()
 
     def plan(self, route: routing.Route) -> list[Group]:
@@ -160,13 +174,16 @@
         now_s = trio.current_time()
         known = self._plans.get(route.name)
         if known is None or known[0] <= now_s:
-            known = (now_s + PLAN_LIFETIME_S, self._group_by_zone(route.shards))
+            known = (now_s + PLAN_LIFETIME_S, self._group(route.shards))
             self._plans[route.name] = known
         groups = []
-        for zone, shards in known[1]:
-            node_id = self._choose(zone, now_s)
-            if node_id is not None:
-                groups.append(Group(node_id, tuple(shards)))
+        for group in known[1]:
+            if group.key:
+                node_id = self._choose_by_key(group, now_s)
+            else:
+                node_id = self._choose(group.zone, now_s)
+            if node_id is not None and node_id != self._node_id:
+                groups.append(Group(node_id, tuple(group.shards)))
         return groups
 
     def start(
@@ -174,6 +191,7 @@
         group: Group,
         request: _call.CallerRequest,
         least: int,
+        hop_ms: float,
         answered: Callable[[GroupReply], None],
     ) -> PendingGroup | None:
         """Asks a node for parts; None if nothing was sent.
@@ -182,6 +200,7 @@
             group: The shards and the node.
             request: The caller's request.
             least: Parts with which a late answer is sent.
+            hop_ms: Time for the reply to come back and be merged.
             answered: Called once, unless the group is given up before.
         """
         table = self._routes.table
@@ -195,7 +214,7 @@
             pending.withdraw = None
             answered(self._finish(pending, outcome))
 
-        message = _encode(request, pending, least, table.version)
+        message = _encode(request, pending, least, hop_ms, table.version)
         started = self._network.start_call(group.node_id, message, done)
         if isinstance(started, result.Err):
             self._blame(group.node_id, started.err_value.detail)
@@ -239,6 +258,18 @@
         self._avoid_until_s[node_id] = trio.current_time() + AVOID_S
         _LOG.info("forward: node %s gave no parts: %s", node_id, why)
 
+    def _choose_by_key(self, group: "_ZoneGroup", now_s: float) -> str | None:
+        """Returns the first usable node for a group, the same on all nodes."""
+        connected = self._network.connected()
+        nodes = self._group_nodes.get(group.zone, [])
+        for node_id in _ranked(nodes, group.key):
+            if node_id == self._node_id:
+                return node_id
+            avoided = self._avoid_until_s.get(node_id, 0.0) > now_s
+            if node_id in connected and not avoided:
+                return node_id
+        return None
+
     def _choose(self, zone: str, now_s: float) -> str | None:
         best, best_cost = None, math.inf
         for node_id in self._network.connected():
@@ -253,15 +284,32 @@
                 best, best_cost = node_id, cost
         return best
 
+    def _group(self, shards: Sequence[str]) -> list["_ZoneGroup"]:
+        zones_of = {s: self._pool.sound_zones(s) for s in shards}
+        by_zone = self._group_by_zone(zones_of)
+        if len(shards) < _endpoints.LARGE_SEARCH_SHARDS:
+            return [_ZoneGroup(zone, "", named) for zone, named in by_zone]
+        own = [s for s in shards if self._zone in zones_of[s]]
+        groups = []
+        for zone, named in [(self._zone, own), *by_zone]:
+            wanted = set(named)
+            # Groups follow the position in the route, so that all nodes
+            # divide alike whichever endpoints they can use.
+            for start in range(0, len(shards), GROUP_SHARDS):
+                part = shards[start : start + GROUP_SHARDS]
+                chosen = [s for s in part if s in wanted]
+                if chosen:
+                    groups.append(_ZoneGroup(zone, part[0], chosen))
+        return groups
+
     def _group_by_zone(
-        self, shards: Sequence[str]
+        self, zones_of: Mapping[str, frozenset[str]]
     ) -> list[tuple[str, list[str]]]:
         """Groups shards without a sound endpoint in this node's zone.
 
         Takes the zone that covers most of them, then the next one.
         """
-        zones_of = {s: self._pool.sound_zones(s) for s in shards}
-        left = [s for s in shards if self._zone not in zones_of[s]]
+        left = [s for s, zones in zones_of.items() if self._zone not in zones]
         zones = set(self._zones.values()) - {self._zone, ""}
         groups = []
         while len(left) >= LEAST_SHARDS and zones:
@@ -280,10 +328,48 @@
         return groups
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ZoneGroup:
+    """Shards with endpoints in one zone.
+
+    Attributes:
+        zone: Availability zone of the nodes that may ask them.
+        key: Decides which node asks them; empty for any node of the zone.
+        shards: The shards.
+    """
+
+    zone: str
+    key: str
+    shards: list[str]
+
+
+def _ranked(nodes: Sequence[str], key: str) -> list[str]:
+    return sorted(
+        nodes, key=lambda n: xxhash.xxh64_intdigest(f"{key}/{n}".encode())
+    )
+
+
+def group_nodes(zones: Mapping[str, str]) -> dict[str, list[str]]:
+    """Returns the nodes that ask shards for the others, by zone.
+
+    Args:
+        zones: Availability zone of each node.
+    """
+    by_zone: dict[str, list[str]] = {}
+    for node_id, zone in zones.items():
+        by_zone.setdefault(zone, []).append(node_id)
+    return {
+        zone: _ranked(nodes, "group")[:GROUP_NODES_PER_ZONE]
+        for zone, nodes in by_zone.items()
+        if zone
+    }
+
+
 def _encode(
     request: _call.CallerRequest,
     pending: PendingGroup,
     least: int,
+    hop_ms: float,
     version: int,
 ) -> messages.PartsRequest:
     elapsed_ms = (trio.current_time() - request.received_s) * 1000
@@ -295,7 +381,7 @@
         version=version,
         shards=list(pending.group.shards),
         least=least,
-        elapsed_ms=elapsed_ms + HOP_MS,
+        elapsed_ms=elapsed_ms + hop_ms,
         remaining_ms=remaining_ms,
         request_id=request.request_id,
         method=request.method,
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -29,6 +29,11 @@
 # Endpoints of one service that a node of a large site uses, so that each
 # connection carries enough calls to stay open.
 LEAST_SUBSET = 2
+# Searches of this many shards are divided into groups. Sending fewer calls
+# takes a node of half a core less time than a hop to another node.
+LARGE_SEARCH_SHARDS = 45
+# Nodes that use a shard which is asked through a few nodes only.
+GROUPED_USERS = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,12 +104,19 @@
         self._table: routing.RouteTable | None = None
         self._members: Sequence[str] = (settings.node_id,)
         self._zones_out: frozenset[str] = frozenset()
+        self._grouped: frozenset[str] = frozenset()
 
     # ---- what the pool is told ----
 
     def adopt_table(self, table: routing.RouteTable) -> None:
         """Adopts another version of the routes."""
         self._table = table
+        self._grouped = frozenset(
+            service
+            for route in table.routes()
+            if len(route.shards) >= LARGE_SEARCH_SHARDS
+            for service in route.shards
+        )
         self.refresh()
 
     def set_members(self, members: Collection[str]) -> None:
@@ -165,6 +177,8 @@
             service = replica.entry.service
             self._by_service.setdefault(service, []).append(replica)
         wanted = self._table.services() if self._table else frozenset()
+        # Only a few nodes call grouped services; they connect when they do.
+        wanted -= self._grouped
         for service, replicas in self._by_service.items():
             replicas[:] = self._subset(service, replicas)
             if service in wanted:
@@ -181,7 +195,7 @@
         node then uses the endpoints that rank it highest.
         """
         limit = self._limits(service).max_connections * CONNECTIONS_USED_PART
-        nodes = len(self._members)
+        nodes = self.users(service)
         if nodes <= limit or len(replicas) <= LEAST_SUBSET:
             return replicas
         count = max(LEAST_SUBSET, int(len(replicas) * limit / nodes))
@@ -191,9 +205,13 @@
             for r in replicas
             if r.entry.state is discovery.EndpointState.READY
         ]
+        zone = self._settings.availability_zone
         ready.sort(
-            key=lambda r: xxhash.xxh64_intdigest(
-                f"{node_id}/{r.entry.endpoint_id}".encode()
+            key=lambda r: (
+                r.entry.availability_zone != zone,
+                xxhash.xxh64_intdigest(
+                    f"{node_id}/{r.entry.endpoint_id}".encode()
+                ),
             )
         )
         kept = set(ready[:count])
@@ -207,7 +225,13 @@
     def _max_links(self, service: str) -> int:
         limits = self._limits(service)
         share = CONNECTIONS_USED_PART * limits.max_connections
-        return max(1, min(MAX_LINKS, int(share / len(self._members))))
+        return max(1, min(MAX_LINKS, int(share / self.users(service))))
+
+    def users(self, service: str) -> int:
+        """Returns the number of nodes that call a service."""
+        if service in self._grouped:
+            return min(GROUPED_USERS, len(self._members))
+        return len(self._members)
 
     # ---- choice ----
 
--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -30,6 +30,7 @@
         metrics: Where requests are counted.
         delegation: Lets nodes near the endpoints ask some shards; None asks
             all of them from here.
+        margins: Time that is kept back; None is for one core.
     """
 
     def __init__(
@@ -39,10 +40,16 @@
         dialect: _call.Dialect,
         metrics: _metrics.ForwardMetrics,
         delegation: _delegation.Delegation | None = None,
+        margins: _timing.Margins | None = None,
     ) -> None:
         self._delegation = delegation
         self._context = _context.Context(
-            pool, budget, dialect, metrics, _timing.HedgeDelays()
+            pool,
+            budget,
+            dialect,
+            metrics,
+            _timing.HedgeDelays(),
+            margins or _timing.Margins.for_cores(1.0),
         )
         self._splits: dict[
             tuple[routing.SplitPart, ...], routing.ServiceSplit
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -87,7 +87,7 @@
         self._request = request
         self._route = route
         self._prepared = context.dialect.prepare(request)
-        self._deadlines = _timing.deadlines(request, route)
+        self._deadlines = _timing.deadlines(request, route, context.margins)
         self._shards = {name: _Shard(name) for name in shards}
         self._least = least
         self._delegation = delegation
@@ -155,6 +155,7 @@
                 group,
                 self._request,
                 max(1, len(group.shards) - may_miss),
+                self._context.margins.hop_ms,
                 functools.partial(self._group_replied, group),
             )
             if pending is None:
--- a/src/geraniumstair/forward/_single.py
+++ b/src/geraniumstair/forward/_single.py
@@ -40,7 +40,7 @@
         self._route = route
         self._service = service
         self._prepared = context.dialect.prepare(request)
-        self._deadlines = _timing.deadlines(request, route)
+        self._deadlines = _timing.deadlines(request, route, context.margins)
         self._open: dict[_call.Call, _replica.Replica] = {}
         self._tried: set[str] = set()
         self._runs = 0
--- a/src/geraniumstair/forward/_timing.py
+++ b/src/geraniumstair/forward/_timing.py
@@ -6,9 +6,16 @@
 from geraniumstair import routing
 from geraniumstair.forward import _call
 
-# Time that an answer needs to reach the caller, connecting included. The
-# latency goal counts from the caller's first byte.
-ANSWER_MARGIN_MS = 13.0
+# Time that a request and its answer spend on the network, connecting included.
+# The latency goal counts from the caller's first byte.
+NETWORK_MARGIN_MS = 7.0
+# Processor time, at one core, that reading a request, merging its parts and
+# writing the answer take.
+PROCESSOR_MARGIN_MS = 6.0
+# The same for the parts that another node merges.
+HOP_NETWORK_MARGIN_MS = 3.0
+HOP_PROCESSOR_MARGIN_MS = 3.0
+LEAST_CORES = 0.25
 # The final answer leaves this long before the caller stops waiting.
 DEADLINE_MARGIN_MS = 20.0
 # A caller that does not say how long it waits is given this time.
@@ -39,7 +46,31 @@
     caller_s: float
 
 
-def deadlines(request: _call.CallerRequest, route: routing.Route) -> Deadlines:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Margins:
+    """Time that is kept back for what happens after the decision.
+
+    Attributes:
+        answer_ms: Between the decision and the caller.
+        hop_ms: Between another node's decision and this one's.
+    """
+
+    answer_ms: float
+    hop_ms: float
+
+    @classmethod
+    def for_cores(cls, cores: float) -> "Margins":
+        """Returns the margins of a node that may use so many cores."""
+        cores = max(cores, LEAST_CORES)
+        return cls(
+            NETWORK_MARGIN_MS + PROCESSOR_MARGIN_MS / cores,
+            HOP_NETWORK_MARGIN_MS + HOP_PROCESSOR_MARGIN_MS / cores,
+        )
+
+
+def deadlines(
+    request: _call.CallerRequest, route: routing.Route, margins: Margins
+) -> Deadlines:
     """Returns the deadlines of a request."""
     remaining_ms = request.remaining_ms
     if remaining_ms is None:
@@ -47,7 +78,7 @@
     limit_ms = min(remaining_ms, route.timeout_ms)
     margin_ms = min(DEADLINE_MARGIN_MS, limit_ms / 4)
     goal_ms = route.latency_goal_ms
-    goal_ms -= min(ANSWER_MARGIN_MS, goal_ms / 4)
+    goal_ms -= min(margins.answer_ms, goal_ms / 3)
     return Deadlines(
         goal_s=request.received_s + min(goal_ms, limit_ms - margin_ms) / 1000,
         final_s=request.received_s + (limit_ms - margin_ms) / 1000,
--- a/src/geraniumstair/mirror/_gossip.py
+++ b/src/geraniumstair/mirror/_gossip.py
@@ -1,8 +1,8 @@
 """Passes the mirror's changes on between nodes.
 
-A node whose mirror advances tells its peers the new position only; each peer
-that is behind asks one of those that told it. So each node receives each
-change once, whatever the number of peers.
+A node whose mirror advances tells its neighbours the newest revision only;
+each one that is behind asks one of those that told it. So each node receives
+each change once, whatever the number of neighbours.
 """
 
 from collections.abc import Sequence
@@ -60,6 +60,8 @@
         self._feed = feed
         self._duty = duty
         self._told = 0
+        self._neighbours: frozenset[str] | None = None
+        self._known: dict[str, int] = {}
         self._ahead: dict[str, int] = {}
         self._changed = trio.Event()
         self._behind = trio.Event()
@@ -73,14 +75,29 @@
             nursery.start_soon(self._report_loop)
             nursery.start_soon(self._fetch_loop)
 
-    def tell(self) -> None:
-        """Sends this node's position to all peers."""
-        self._told = self._mirror.newest
+    def set_neighbours(self, neighbours: frozenset[str]) -> None:
+        """Sets the peers that are told; before that, all of them are."""
+        self._neighbours = neighbours
+
+    def tell(self, *, periodic: bool) -> None:
+        """Sends this node's newest revision to its neighbours.
+
+        Args:
+            periodic: Also tells those that know this revision already, since
+                the notice says that a watch works.
+        """
+        newest = self._told = self._mirror.newest
+        age_s = 0.0 if self._feed.working else self._duty.heard_age_s
         notice = messages.MirrorNotice(
-            newest=self._mirror.newest, watching=self._feed.working
+            newest=newest, watch_age_ms=round(age_s * 1000)
         )
-        for node_id in self._network.connected():
-            self._network.send(node_id, notice)
+        told = self._network.connected()
+        if self._neighbours is not None:
+            told &= self._neighbours
+        for node_id in told:
+            if periodic or self._known.get(node_id, 0) < newest:
+                self._network.send(node_id, notice)
+                self._known[node_id] = newest
 
     def _on_change(self, items: Sequence[_mirror.MirrorItem]) -> None:
         self._changed.set()
@@ -92,18 +109,21 @@
                 await self._changed.wait()
             self._changed = trio.Event()
             now_s = trio.current_time()
-            if self._mirror.newest > self._told or (
-                self._feed.working and now_s >= next_s
-            ):
-                self.tell()
+            periodic = now_s >= next_s and (
+                self._feed.working or self._duty.informed
+            )
+            if periodic or self._mirror.newest > self._told:
+                self.tell(periodic=periodic)
             if now_s >= next_s:
                 next_s = now_s + NOTICE_INTERVAL_S
 
     async def _on_notice(
         self, sender: str, notice: messages.MirrorNotice
     ) -> None:
-        if notice.watching:
-            self._duty.heard()
+        if notice.watch_age_ms >= 0:
+            self._duty.heard(notice.watch_age_ms / 1000)
+        known = self._known.get(sender, 0)
+        self._known[sender] = max(known, notice.newest)
         if notice.newest > self._mirror.position:
             self._ahead[sender] = notice.newest
             self._behind.set()
--- a/src/geraniumstair/mirror/_watchers.py
+++ b/src/geraniumstair/mirror/_watchers.py
@@ -7,9 +7,13 @@
 
 # Enough that killing two nodes at once leaves one watching.
 WATCHERS = 3
+_MAX_DOUBLINGS = 20
 # Watching nodes report each half second; two lost reports are tolerated. The
 # rest of the 3 s within which a change must be in force is for catching up.
 SILENCE_S = 1.4
+# On larger sites the reports take several hops of up to half a second each.
+SMALL_SITE_NODES = 10
+LARGE_SILENCE_S = 3.5
 
 
 def rank(names: Iterable[str]) -> list[str]:
@@ -37,17 +41,30 @@
         """Sets the nodes that are taken to be alive."""
         self._members = members | {self._node_id}
 
-    def heard(self) -> None:
-        """Notes that a peer's watch of the store works."""
-        self._heard_s = self._clock()
+    def heard(self, age_s: float) -> None:
+        """Notes that some node's watch of the store worked a while ago."""
+        self._heard_s = max(self._heard_s, self._clock() - age_s)
+
+    @property
+    def heard_age_s(self) -> float:
+        """Time since some other node's watch is known to have worked."""
+        return self._clock() - self._heard_s
+
+    @property
+    def _silence_s(self) -> float:
+        small = len(self._members) <= SMALL_SITE_NODES
+        return SILENCE_S if small else LARGE_SILENCE_S
 
     @property
     def informed(self) -> bool:
         """True if a peer whose watch works is heard."""
-        return self._clock() - self._heard_s <= SILENCE_S
+        return self.heard_age_s <= self._silence_s
 
     @property
     def required(self) -> bool:
-        """True if this node is one of the first, or no watcher is heard."""
-        first = rank(self._members)[:WATCHERS]
-        return self._node_id in first or not self.informed
+        """True if this node is one of those that have to watch."""
+        # The next nodes take over from the first ones, and twice as many
+        # each time that these don't work either.
+        doublings = min(_MAX_DOUBLINGS, int(self.heard_age_s / self._silence_s))
+        watching = WATCHERS * 2**doublings
+        return self._node_id in rank(self._members)[:watching]
--- a/src/geraniumstair/platform/_settings.py
+++ b/src/geraniumstair/platform/_settings.py
@@ -38,6 +38,12 @@
     budget_slack: float = msgspec.field(name="BudgetSlack", default=20.0)
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    # Share of each core, and how many times as fast as one core it is.
+    core_share: float = msgspec.field(name="CpuShare", default=1.0)
+    cores: float = msgspec.field(name="Cores", default=1.0)
+
+
 class _StoreAddress(msgspec.Struct, frozen=True):
     address: str = msgspec.field(name="Address")
 
@@ -51,6 +57,7 @@
     internal_ports: _Ports = msgspec.field(name="InternalPorts")
     bounds: _Bounds = msgspec.field(name="Bounds")
     store: _StoreAddress = msgspec.field(name="platform")
+    limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
     seeds: list[str] = msgspec.field(name="Seeds", default_factory=list)
 
 
@@ -113,6 +120,7 @@
                 slack=bounds.budget_slack,
             ),
             remote_cost_ms=REMOTE_COST_MS,
+            processor_cores=settings.limits.core_share * settings.limits.cores,
         )
     except ValueError as error:
         raise errors.SettingsError(str(error)) from error
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,6 +11,7 @@
 
 from geraniumstair import configuration
 from geraniumstair import dispatch  # noqa: F401 - registers its metrics
+from geraniumstair import forward
 from geraniumstair import observe
 from geraniumstair import search
 from geraniumstair import store
@@ -142,6 +143,7 @@
         metrics = observe.MetricsRegistry()
         test_node_parts.register_fake_gauges(metrics)
         search.SearchMetrics(metrics)
+        forward.ForwardMetrics(metrics)
         store.EtcdStore(["http://127.0.0.1:1"], registry=metrics)
         names = set()
         for registry in (metrics, observe.process_metrics()):
--- a/tests/test_forward_delegation.py
+++ b/tests/test_forward_delegation.py
@@ -56,6 +56,7 @@
         self.near_node = _Node(builders.table([self.route]))
         self.far_node = _Node(builders.table([self.route]))
         self.delegation = forward.Delegation(
+            "n1",
             "a",
             self.near.pool,
             self.near_network,
