Cap saved repeats, end calls to reused addresses, avoid silent nodes

An endpoint that answers 421 gets nothing more in that lifetime. A bucket holds its burst at most.

Ruled out: members that a node cannot see (no change of members in the log), calls sent by two nodes (no request id was sent first by two).

--- a/src/geraniumstair/forward/_budget.py
+++ b/src/geraniumstair/forward/_budget.py
@@ -14,7 +14,9 @@
 USED_PART = 0.85
 # Part of the fixed number that can be spent at once; the rest comes back over
 # the window.
-BURST_PART = 0.5
+BURST_PART = 0.6
+# Part of the burst that a process starts with.
+START_PART = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,7 +68,8 @@
     def earn(self, service: str) -> None:
         """Counts the first call of a request to a service."""
         bucket = self._bucket(service)
-        bucket.tokens += USED_PART * self._limits.ratio
+        earned = bucket.tokens + USED_PART * self._limits.ratio
+        bucket.tokens = min(self._capacity(service), earned)
 
     def take(self, service: str) -> bool:
         """Takes a repeat from the budget; False if there is none left."""
@@ -89,18 +92,16 @@
         bucket = self._buckets.get(service)
         if bucket is None:
             # A process that has just started may follow one that has spent
-            # its part, so it starts with less than a full bucket.
-            bucket = _Bucket(max(1.0, self._capacity(service) / 2), now_s)
+            # its part, so it starts with little.
+            capacity = self._capacity(service)
+            bucket = _Bucket(max(1.0, START_PART * capacity), now_s)
             self._buckets[service] = bucket
             return bucket
         refill_s = now_s - bucket.filled_s
         bucket.filled_s = now_s
         per_s = (1 - BURST_PART) * self._slack(service) / self._limits.window_s
-        capacity = self._capacity(service)
-        # What requests earn may exceed the burst for a while.
-        greatest = max(capacity, bucket.tokens)
-        bucket.tokens = min(greatest, bucket.tokens + per_s * refill_s)
-        bucket.tokens = min(bucket.tokens, 3 * capacity)
+        filled = bucket.tokens + per_s * refill_s
+        bucket.tokens = min(self._capacity(service), filled)
         return bucket
 
 
--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -43,8 +43,9 @@
 GROUP_NODES_PER_ZONE = 12
 # The groups are worked out again after this time.
 PLAN_LIFETIME_S = 0.1
-# A node that failed is not asked for this time.
-AVOID_S = 1.5
+# A node that failed is not asked for this time, twice as long each time.
+AVOID_MIN_S = 1.5
+AVOID_MAX_S = 12.0
 # Weight of a new sample in the moving average of a node's time.
 LATENCY_WEIGHT = 0.1
 INITIAL_LATENCY_MS = 30.0
@@ -157,6 +158,7 @@
         self._rng = rng
         self._zones: Mapping[str, str] = {}
         self._avoid_until_s: dict[str, float] = {}
+        self._avoid_s: dict[str, float] = {}
         self._outstanding: dict[str, int] = {}
         self._latency_ms: dict[str, float] = {}
         self._plans: dict[str, tuple[float, list[_ZoneGroup]]] = {}
@@ -252,10 +254,17 @@
         reply = _decode_reply(pending.group, outcome)
         if reply.failure:
             self._blame(node_id, reply.failure)
+        else:
+            self._avoid_s.pop(node_id, None)
         return reply
 
     def _blame(self, node_id: str, why: str) -> None:
-        self._avoid_until_s[node_id] = trio.current_time() + AVOID_S
+        now_s = trio.current_time()
+        if self._avoid_until_s.get(node_id, 0.0) > now_s:
+            return
+        avoid_s = self._avoid_s.get(node_id, AVOID_MIN_S)
+        self._avoid_s[node_id] = min(2 * avoid_s, AVOID_MAX_S)
+        self._avoid_until_s[node_id] = now_s + avoid_s
         _LOG.info("forward: node %s gave no parts: %s", node_id, why)
 
     def _choose_by_key(self, group: "_ZoneGroup", now_s: float) -> str | None:
@@ -265,17 +274,21 @@
         for node_id in _ranked(nodes, group.key):
             if node_id == self._node_id:
                 return node_id
-            avoided = self._avoid_until_s.get(node_id, 0.0) > now_s
-            if node_id in connected and not avoided:
+            if node_id in connected and self._is_usable(node_id, now_s):
                 return node_id
         return None
 
+    def _is_usable(self, node_id: str, now_s: float) -> bool:
+        if self._avoid_until_s.get(node_id, 0.0) > now_s:
+            return False
+        return self._network.responsive(node_id)
+
     def _choose(self, zone: str, now_s: float) -> str | None:
         best, best_cost = None, math.inf
         for node_id in self._network.connected():
             if self._zones.get(node_id) != zone:
                 continue
-            if self._avoid_until_s.get(node_id, 0.0) > now_s:
+            if not self._is_usable(node_id, now_s):
                 continue
             cost = self._latency_ms.get(node_id, INITIAL_LATENCY_MS)
             cost *= 1 + self._outstanding.get(node_id, 0)
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -227,6 +227,10 @@
         share = CONNECTIONS_USED_PART * limits.max_connections
         return max(1, min(MAX_LINKS, int(share / self.users(service))))
 
+    def size(self, service: str) -> int:
+        """Returns the number of endpoints that may get calls."""
+        return sum(_takes_calls(r) for r in self._by_service.get(service, ()))
+
     def users(self, service: str) -> int:
         """Returns the number of nodes that call a service."""
         if service in self._grouped:
@@ -267,7 +271,7 @@
         """Returns the rank and the expected time; None if it can't be used."""
         entry = replica.entry
         state = entry.state
-        if state is discovery.EndpointState.DRAINING:
+        if not _takes_calls(replica):
             return None
         if entry.availability_zone in self._zones_out:
             return None
@@ -333,8 +337,7 @@
     def usable(self, service: str) -> bool:
         """True if some endpoint of the service may get calls."""
         return any(
-            r.entry.state is not discovery.EndpointState.DRAINING
-            and r.entry.availability_zone not in self._zones_out
+            _takes_calls(r) and r.entry.availability_zone not in self._zones_out
             for r in self._by_service.get(service, ())
         )
 
@@ -369,3 +372,8 @@
             service: [replica.dump() for replica in replicas]
             for service, replicas in sorted(self._by_service.items())
         }
+
+
+def _takes_calls(replica: _replica.Replica) -> bool:
+    draining = replica.entry.state is discovery.EndpointState.DRAINING
+    return not draining and not replica.replaced
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -62,6 +62,8 @@
         latency_ms: Moving average of the time of a call.
         failure_share: Moving average of failed calls, 0 to 1.
         cold_until_s: When the endpoint has warmed up.
+        replaced: Another endpoint answered at its address. This start of it
+            has ended, whatever its entry still says.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         self._failures_in_row = 0
         self._last_reply_s = 0.0
         self._closed = False
+        self.replaced = False
 
     # ---- state for the choice ----
 
@@ -156,6 +159,7 @@
             if not call.done:
                 continue
             if now_s - call.abandoned_s >= ABANDONED_LIMIT_S:
+                self.failure_share += FAILURE_WEIGHT * (1 - self.failure_share)
                 self._fail(now_s)
                 link.close()
         if self._waiting:
@@ -285,7 +289,8 @@
             self._failures_in_row = 0
             self._avoid_until_s = 0.0
         elif outcome is _call.Outcome.MISDIRECTED:
-            self._avoid_until_s = now_s + AVOID_MAX_S
+            self.replaced = True
+            self._withdraw_waiting("another endpoint has the address")
         elif outcome is not _call.Outcome.REJECTED and not call.done:
             self._fail(now_s)
 
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -131,7 +131,7 @@
 
     def _start(self) -> None:
         now_s = trio.current_time()
-        self._hedge_s = now_s + self._context.delays.delay_ms(self._route) / 1e3
+        self._arm_hedge(now_s)
         budget = self._context.budget
         if self._delegation is not None:
             self._start_groups(self._delegation, now_s)
@@ -196,17 +196,30 @@
             # The other node has used all its attempts.
             self._fail(shard)
             return
+        now_s = trio.current_time()
         if not reply.ran:
             budget.earn(shard.service)
-        else:
-            shard.runs += 1
-            if shard.runs >= self._route.max_attempts or not budget.take(
-                shard.service
-            ):
-                self._fail(shard)
-                return
+        elif not self._may_run_again(shard) or not budget.take(shard.service):
+            self._fail(shard)
+            return
+        self._arm_hedge(now_s)
         if not self._try_call(shard):
-            self._pause(shard, trio.current_time())
+            self._pause(shard, now_s)
+
+    def _may_run_again(self, shard: _Shard) -> bool:
+        """Counts the other node's call; False if it was the last one allowed.
+
+        A shard with no more endpoints than attempts cannot run on too many.
+        """
+        attempts = self._route.max_attempts
+        if self._context.pool.size(shard.service) > attempts:
+            shard.runs += 1
+        return shard.runs < attempts
+
+    def _arm_hedge(self, now_s: float) -> None:
+        delay_s = self._context.delays.delay_ms(self._route) / 1000
+        self._hedge_s = min(self._hedge_s, now_s + delay_s)
+        self._wake.set()
 
     def _check_groups(self, now_s: float) -> None:
         self._check_s = math.inf
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -72,6 +72,28 @@
             # What is allowed is also used.
             self.assertGreater(len(window), 0.5 * limits.ratio * len(requests))
 
+    def test_calm_time_is_not_saved_up_beyond_the_limits(self) -> None:
+        # An incident: endpoints turned slow after calm seconds, and all nodes
+        # spent what they had saved; 138 repeats where 137 were allowed.
+        now_s = 0.0
+        limits = forward.BudgetLimits(ratio=0.2, window_s=10.0, slack=54.0)
+        budgets = [forward.RetryBudget(limits, lambda: now_s) for _ in range(7)]
+        for budget in budgets:
+            budget.set_users(lambda service: 7)
+        taken = 0
+        requests = 0
+        for tick in range(3000):
+            now_s = tick / 100
+            for index, budget in enumerate(budgets):
+                if (tick + index) % 17:
+                    continue
+                budget.earn("s")
+                if tick < 2000:
+                    continue
+                requests += 1
+                taken += sum(budget.take("s") for _ in range(3))
+        self.assertLessEqual(taken, limits.ratio * requests + limits.slack)
+
 
 class SearchTest(unittest.TestCase):
     """Guards against false, late or needlessly incomplete answers."""
@@ -298,6 +320,24 @@
 
         _run(test)
 
+    def test_an_endpoint_whose_address_was_reused_gets_one_call(self) -> None:
+        # An incident: calls to the old address counted as repeats at the
+        # service that has it now.
+        async def test(nursery: trio.Nursery) -> None:
+            entries = [builders.entry("x"), builders.entry("y")]
+            route = builders.route()
+            edge = builders.Edge(nursery, entries, [route])
+            edge.site.behaviour("x").reply = forward.Reply(
+                forward.Outcome.MISDIRECTED, "another one", 421
+            )
+            for _ in range(20):
+                edge.site.behaviour("y").delay_s = 0.2
+                await edge.forwarder.forward(builders.caller_request(), route)
+                await trio.sleep(0.5)
+            self.assertEqual(edge.site.sent_to().count("x"), 1)
+
+        _run(test)
+
     def test_the_own_zone_is_preferred_until_it_is_busier(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             entries = [
--- a/tests/test_forward_delegation.py
+++ b/tests/test_forward_delegation.py
@@ -142,6 +142,24 @@
 
         _run(test)
 
+    def test_a_zone_without_power_is_bypassed(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery, min_coverage=1.0)
+            # Node n2 and one endpoint of each remote shard fall silent.
+            site.far_network.silent = True
+            for i in range(2, 8):
+                site.near.site.behaviour(f"x{i}").reply = None
+            for _ in range(6):
+                outcome = await site.search()
+                assert isinstance(outcome, forward.SearchResult)
+                self.assertEqual(outcome.missing, 0)
+            started_s = trio.current_time()
+            await site.search()
+            # The silent endpoints are known by now.
+            self.assertLess(trio.current_time() - started_s, 0.1)
+
+        _run(test)
+
     def test_parts_that_the_other_node_lacks_are_missing(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             site = _Site(nursery, min_coverage=0.75)
