Let groups reply at the goal, and ask again for what they lack

A group replies at the latency goal with any part; the asking node asks for what is missing within its budget. Repeats that the budget refused are tried again after 0.1 s.

Ruled out: holding a search until its limit when the budget refuses repeats. The caller's own next attempt has a budget of its own.

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -691,10 +691,6 @@
     """
     Services of the shards.
     """
-    least: Annotated[int, Meta(description="Parts with which a late answer is sent.")]
-    """
-    Parts with which a late answer is sent.
-    """
     elapsed_ms: Annotated[
         float, Meta(description="Time since the caller's request was received.")
     ]
--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -192,7 +192,6 @@
         self,
         group: Group,
         request: _call.CallerRequest,
-        least: int,
         hop_ms: float,
         answered: Callable[[GroupReply], None],
     ) -> PendingGroup | None:
@@ -201,7 +200,6 @@
         Args:
             group: The shards and the node.
             request: The caller's request.
-            least: Parts with which a late answer is sent.
             hop_ms: Time for the reply to come back and be merged.
             answered: Called once, unless the group is given up before.
         """
@@ -216,7 +214,7 @@
             pending.withdraw = None
             answered(self._finish(pending, outcome))
 
-        message = _encode(request, pending, least, hop_ms, table.version)
+        message = _encode(request, pending, hop_ms, table.version)
         started = self._network.start_call(group.node_id, message, done)
         if isinstance(started, result.Err):
             self._blame(group.node_id, started.err_value.detail)
@@ -381,7 +379,6 @@
 def _encode(
     request: _call.CallerRequest,
     pending: PendingGroup,
-    least: int,
     hop_ms: float,
     version: int,
 ) -> messages.PartsRequest:
@@ -393,7 +390,6 @@
         parts_id=pending.parts_id,
         version=version,
         shards=list(pending.group.shards),
-        least=least,
         elapsed_ms=elapsed_ms + hop_ms,
         remaining_ms=remaining_ms,
         request_id=request.request_id,
--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -99,19 +99,19 @@
         request: _call.CallerRequest,
         route: routing.Route,
         shards: tuple[str, ...],
-        least: int,
     ) -> tuple[_result.ForwardResult, tuple[str, ...]]:
         """Asks some shards of a search for another node.
 
+        Returns at the latency goal with any part, because the other node
+        knows what it lacks, and may still ask for it.
+
         Returns:
             The outcome, and the shards that answered in the order of their
             signatures.
         """
         self.in_progress += 1
         try:
-            search = _search.Search(
-                self._context, request, route, shards, least
-            )
+            search = _search.Search(self._context, request, route, shards, 1)
             return await search.run(), search.answered_shards()
         finally:
             self.in_progress -= 1
--- a/src/geraniumstair/forward/_parts_server.py
+++ b/src/geraniumstair/forward/_parts_server.py
@@ -19,7 +19,6 @@
         request: _call.CallerRequest,
         route: routing.Route,
         shards: tuple[str, ...],
-        least: int,
     ) -> tuple[_result.ForwardResult, tuple[str, ...]]:
         """Returns the outcome and the shards that answered, in order."""
         ...
@@ -72,7 +71,6 @@
                     _decode(message),
                     route,
                     tuple(message.shards),
-                    message.least,
                 )
                 reply = _encode(message, outcome, answered)
             finally:
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -22,6 +22,9 @@
 # A shard whose endpoints refused or could not be reached is tried again
 # after this time, and a repeat that found no healthy endpoint as well.
 RETRY_PAUSE_S = 0.015
+# A repeat that the budget did not allow is tried again after this time, in
+# which a busy node earns about one.
+BUDGET_PAUSE_S = 0.1
 # Repeats of one shard that certainly did not run.
 MAX_REFUSALS = 6
 # How often a node that asks shards is checked; its pings are far slower.
@@ -147,14 +150,12 @@
     def _start_groups(
         self, delegation: _delegation.Delegation, now_s: float
     ) -> None:
-        may_miss = len(self._shards) - self._least
         for group in delegation.plan(self._route):
             for name in group.shards:
                 self._shards[name].delegated = True
             pending = delegation.start(
                 group,
                 self._request,
-                max(1, len(group.shards) - may_miss),
                 self._context.margins.hop_ms,
                 functools.partial(self._group_replied, group),
             )
@@ -192,10 +193,6 @@
         shard.failure = reply.failure or "the other node has no part"
         shard.delegated = False
         budget = self._context.budget
-        if not reply.failure:
-            # The other node has used all its attempts.
-            self._fail(shard)
-            return
         now_s = trio.current_time()
         if not reply.ran:
             budget.earn(shard.service)
@@ -351,8 +348,10 @@
                 shard.service, shard.tried, healthy=True
             )
             if replica is None:
-                self._hedge_s = now_s + RETRY_PAUSE_S
-            elif self._context.budget.take(shard.service):
+                self._hedge_s = min(self._hedge_s, now_s + RETRY_PAUSE_S)
+            elif not self._context.budget.take(shard.service):
+                self._hedge_s = min(self._hedge_s, now_s + BUDGET_PAUSE_S)
+            else:
                 self._context.metrics.extra_calls.labels("hedge").inc()
                 self.repeats += 1
                 self._submit(shard, replica)
--- a/tests/test_forward_delegation.py
+++ b/tests/test_forward_delegation.py
@@ -175,6 +175,24 @@
 
         _run(test)
 
+    def test_a_shard_is_asked_here_if_the_other_node_has_no_part(
+        self,
+    ) -> None:
+        # An incident: a search was given up at its latency goal, because the
+        # other node lacked parts that it was allowed to miss.
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery, min_coverage=0.75)
+            failed = forward.Reply(forward.Outcome.FAILED, "", 500)
+            for copy in "xy":
+                site.near.site.behaviour(f"{copy}0").reply = failed
+                for i in (5, 6):
+                    site.far.site.behaviour(f"{copy}{i}").reply = failed
+            outcome = await site.search()
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(outcome.missing, 1)
+
+        _run(test)
+
     def test_the_other_node_stops_when_the_caller_has_gone(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             site = _Site(nursery)
