Share connecting, reload settings, show the state, guard requests

Cause: read as a newcomer. Connecting stood twice, SIGHUP logged a reload that did not happen, limits were decoded that nothing used, and an unexpected error in a request or a connection would have ended the process.

calls.connect serves dispatch and forward. Settings are read at SIGHUP and every 5 s; budget and seeds are taken over, other changes are named in the log. GET /state shows endpoints and mirror. Errors of one request or one connection are logged and end only that.

--- a/src/geraniumstair/calls/__init__.py
+++ b/src/geraniumstair/calls/__init__.py
@@ -1,8 +1,15 @@
 """What calls to endpoints need, whatever the endpoints speak."""
 
+from geraniumstair.calls._connect import connect
 from geraniumstair.calls._latency import LatencyWindow
 from geraniumstair.calls._response import InvalidResponse
 from geraniumstair.calls._response import Response
 from geraniumstair.calls._response import ResponseReader
 
-__all__ = ["InvalidResponse", "LatencyWindow", "Response", "ResponseReader"]
+__all__ = [
+    "InvalidResponse",
+    "LatencyWindow",
+    "Response",
+    "ResponseReader",
+    "connect",
+]
--- a/src/geraniumstair/dispatch/_http_client.py
+++ b/src/geraniumstair/dispatch/_http_client.py
@@ -11,9 +11,7 @@
 send and receive cost one more pass of the scheduler each.
 """
 
-import errno
 import math
-import os
 import re
 import select
 import socket
@@ -64,22 +62,10 @@
             OSError: The endpoint cannot be reached in time.
         """
         host = self._spec.address
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        endpoint_socket = socket.socket(family, socket.SOCK_STREAM)
-        try:
-            endpoint_socket.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
-            )
-            endpoint_socket.setblocking(False)
-            with trio.fail_after(CONNECT_TIMEOUT_S):
-                await _connect(endpoint_socket, (host, self._spec.port))
-        except trio.TooSlowError as error:
-            endpoint_socket.close()
-            raise TimeoutError("connecting took too long") from error
-        except BaseException:
-            endpoint_socket.close()
-            raise
-        if family == socket.AF_INET6:
+        endpoint_socket = await calls.connect(
+            host, self._spec.port, CONNECT_TIMEOUT_S
+        )
+        if ":" in host:
             host = f"[{host}]"
         authority = f"{host}:{self._spec.port}".encode()
         return HttpConnection(
@@ -87,17 +73,6 @@
         )
 
 
-async def _connect(
-    endpoint_socket: socket.socket, address: tuple[str, int]
-) -> None:
-    status = endpoint_socket.connect_ex(address)
-    if status == errno.EINPROGRESS:
-        await trio.lowlevel.wait_writable(endpoint_socket)
-        status = endpoint_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-    if status:
-        raise OSError(status, os.strerror(status))
-
-
 class HttpConnection:
     """One open HTTP/1.1 connection; carries one request at a time."""
 
--- a/src/geraniumstair/edge/_application.py
+++ b/src/geraniumstair/edge/_application.py
@@ -117,10 +117,15 @@
     async def _serve_request(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
+        answer: HttpAnswer | None
         try:
             answer = await self._answer(scope, receive)
         except _Gone:
             return
+        except Exception:
+            _LOG.exception("edge: a request failed")
+            # Whether it has run is not known.
+            answer = HttpAnswer(502, [])
         if answer is not None:
             await self._send(send, answer)
 
@@ -223,6 +228,7 @@
         lifecycle: Whether the node is ready.
         readiness_path: Path that the balancer asks for.
         render_metrics: Returns the metrics as text.
+        render_state: Returns the state of the node as JSON.
     """
 
     def __init__(
@@ -230,7 +236,9 @@
         lifecycle: _lifecycle.Lifecycle,
         readiness_path: str,
         render_metrics: Callable[[], bytes],
+        render_state: Callable[[], bytes],
     ) -> None:
+        self._render_state = render_state
         self._lifecycle = lifecycle
         self._readiness_path = readiness_path
         self._render_metrics = render_metrics
@@ -260,6 +268,8 @@
             return (200, b"ready") if self._lifecycle.ready else (503, b"no")
         if path == "/metrics":
             return 200, self._render_metrics()
+        if path == "/state":
+            return 200, self._render_state()
         return 404, b"not found"
 
 
--- a/src/geraniumstair/edge/_node.py
+++ b/src/geraniumstair/edge/_node.py
@@ -1,5 +1,6 @@
 """Assembles one node that serves callers."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
@@ -7,11 +8,13 @@
 import random
 import signal
 import time
+from typing import Any
 from typing import Protocol
 
 import trio
 
 from geraniumstair import discovery
+from geraniumstair import errors
 from geraniumstair import forward
 from geraniumstair import listeners
 from geraniumstair import mirror
@@ -27,6 +30,10 @@
 MAX_BODY_BYTES = 1024 * 1024
 # How often the first version and the first endpoints are looked for.
 LOAD_CHECK_S = 0.05
+# The settings file may change without a signal.
+RELOAD_INTERVAL_S = 5.0
+# Settings that need no restart.
+_CHANGED_IN_PLACE = frozenset(["budget", "seeds"])
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,11 +98,19 @@
     Args:
         settings: What the node is.
         adapters: What depends on the platform.
+        reload: Reads the settings again; raises `SettingsError`.
     """
 
-    def __init__(self, settings: EdgeSettings, adapters: EdgeAdapters) -> None:
+    def __init__(
+        self,
+        settings: EdgeSettings,
+        adapters: EdgeAdapters,
+        reload: Callable[[], EdgeSettings],
+    ) -> None:
         self._settings = settings
         self._adapters = adapters
+        self._reload = reload
+        self._reload_wanted = trio.Event()
         self._lifecycle = _lifecycle.Lifecycle(settings.grace_s)
         self._mirror = mirror.Mirror()
         self._duty = mirror.WatchDuty(settings.node_id, trio.current_time)
@@ -126,7 +141,7 @@
                 self._start(nursery)
                 async for number in signals:
                     if number == signal.SIGHUP:
-                        _LOG.info("edge: settings reloaded")
+                        self._reload_wanted.set()
                         continue
                     break
                 # A second signal must not end the process at once.
@@ -184,6 +199,9 @@
             self._set_members,
         )
         self._callers_closed = trio.Event()
+        self._state_dump = observe.StateDump()
+        self._state_dump.register("endpoints", pool.dump)
+        self._state_dump.register("mirror", self._dump_mirror)
         application = _application.CallerApplication(
             state, forwarder, self._adapters.codec, self._lifecycle
         )
@@ -194,6 +212,7 @@
             forwarder.run,
             state.expire_loop,
             self._run_network,
+            self._reload_loop,
         ):
             nursery.start_soon(task)
         nursery.start_soon(self._serve_readiness, settings.readiness)
@@ -202,6 +221,43 @@
         nursery.start_soon(self._note_loaded, state)
         _LOG.info("edge: node %s started", settings.node_id)
 
+    async def _reload_loop(self) -> None:
+        """Reads the settings at SIGHUP, and from time to time without it."""
+        while True:
+            with trio.move_on_after(RELOAD_INTERVAL_S):
+                await self._reload_wanted.wait()
+            signalled = self._reload_wanted.is_set()
+            self._reload_wanted = trio.Event()
+            try:
+                settings = self._reload()
+            except errors.SettingsError as error:
+                _LOG.warning("edge: kept the earlier settings: %s", error)
+                continue
+            if settings != self._settings:
+                self._adopt_settings(settings)
+            elif signalled:
+                _LOG.info("edge: settings read again; nothing has changed")
+
+    def _adopt_settings(self, settings: EdgeSettings) -> None:
+        changed = [
+            field.name
+            for field in dataclasses.fields(settings)
+            if getattr(settings, field.name)
+            != getattr(self._settings, field.name)
+        ]
+        _LOG.info(
+            "edge: settings changed",
+            extra=observe.fields(
+                changed=changed,
+                after_restart=sorted(set(changed) - _CHANGED_IN_PLACE),
+            ),
+        )
+        self._settings = settings
+        self._budget.set_limits(settings.budget)
+        for seed in settings.seeds:
+            if seed != settings.peer_listener:
+                self._network.add_seed(seed)
+
     async def _run_network(self) -> None:
         for seed in self._settings.seeds:
             if seed != self._settings.peer_listener:
@@ -227,6 +283,7 @@
                 self._lifecycle,
                 self._settings.readiness_path,
                 observe.process_metrics().render,
+                self._state_dump.render,
             ),
             address.address,
             address.port,
@@ -244,6 +301,15 @@
             len(list(self._registry.entries())),
         )
 
+    def _dump_mirror(self) -> Mapping[str, Any]:
+        return {
+            "position": self._mirror.position,
+            "newest": self._mirror.newest,
+            "watching": self._feed.working,
+            "watch_heard_s": round(self._duty.heard_age_s, 2),
+            "connected": sorted(self._network.connected()),
+        }
+
     def _set_members(self, zones: Mapping[str, str]) -> None:
         members = frozenset(zones)
         self._delegation.set_zones(zones)
--- a/src/geraniumstair/forward/_budget.py
+++ b/src/geraniumstair/forward/_budget.py
@@ -58,6 +58,10 @@
         self._buckets: dict[str, _Bucket] = {}
         self._users: Callable[[str], int] = _one
 
+    def set_limits(self, limits: BudgetLimits) -> None:
+        """Sets what the site allows from now on."""
+        self._limits = limits
+
     def set_users(self, users: Callable[[str], int]) -> None:
         """Sets what tells how many nodes call a service."""
         self._users = users
@@ -79,11 +83,6 @@
         bucket.tokens -= 1
         return True
 
-    def share_left(self, service: str) -> float:
-        """Returns how much of the largest possible budget is left, 0 to 1."""
-        capacity = self._capacity(service)
-        return min(1.0, self._bucket(service).tokens / capacity)
-
     def _capacity(self, service: str) -> float:
         return max(1.0, BURST_PART * self._slack(service))
 
--- a/src/geraniumstair/forward/_link.py
+++ b/src/geraniumstair/forward/_link.py
@@ -5,8 +5,6 @@
 one wake-up for each reply, whatever is waited for.
 """
 
-import errno
-import os
 import socket
 from typing import Protocol
 
@@ -79,39 +77,15 @@
 
     async def connect(self, entry: discovery.EndpointEntry) -> "TcpLink":
         """Opens a connection; see `LinkFactory.connect`."""
-        endpoint_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            _set_options(endpoint_socket)
-            with trio.fail_after(CONNECT_TIMEOUT_S):
-                await _connect(endpoint_socket, (entry.address, entry.port))
-        except trio.TooSlowError as error:
-            endpoint_socket.close()
-            raise TimeoutError("connecting took too long") from error
-        except BaseException:
-            endpoint_socket.close()
-            raise
+        endpoint_socket = await calls.connect(
+            entry.address,
+            entry.port,
+            CONNECT_TIMEOUT_S,
+            user_timeout_ms=USER_TIMEOUT_MS,
+        )
         return TcpLink(endpoint_socket, self._dialect)
 
 
-def _set_options(endpoint_socket: socket.socket) -> None:
-    endpoint_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    endpoint_socket.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-    )
-    endpoint_socket.setblocking(False)
-
-
-async def _connect(
-    endpoint_socket: socket.socket, address: tuple[str, int]
-) -> None:
-    status = endpoint_socket.connect_ex(address)
-    if status == errno.EINPROGRESS:
-        await trio.lowlevel.wait_writable(endpoint_socket)
-        status = endpoint_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-    if status:
-        raise OSError(status, os.strerror(status))
-
-
 class TcpLink:
     """A link over a connected, non-blocking socket."""
 
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -215,6 +215,16 @@
         self._spawner.start_soon(self._run_link)
 
     async def _run_link(self) -> None:
+        try:
+            await self._serve_link()
+        except Exception:
+            # A fault of one connection must not end the whole process.
+            _LOG.exception(
+                "forward: a connection to endpoint %s failed",
+                self.entry.endpoint_id,
+            )
+
+    async def _serve_link(self) -> None:
         try:
             link = await self._factory.connect(self.entry)
         except OSError as error:
--- a/src/geraniumstair/forward/_result.py
+++ b/src/geraniumstair/forward/_result.py
@@ -13,7 +13,6 @@
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     NO_ENDPOINT = "no_endpoint"
-    OVERLOADED = "overloaded"
     TIMEOUT = "timeout"
     ENDPOINT_FAILED = "endpoint_failed"
 
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -3,7 +3,6 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import functools
-import logging
 import math
 from typing import Any
 
@@ -18,7 +17,6 @@
 from geraniumstair.forward import _result
 from geraniumstair.forward import _timing
 
-_LOG = logging.getLogger(__name__)
 # A shard whose endpoints refused or could not be reached is tried again
 # after this time, and a repeat that found no healthy endpoint as well.
 RETRY_PAUSE_S = 0.015
--- a/src/geraniumstair/platform/__main__.py
+++ b/src/geraniumstair/platform/__main__.py
@@ -24,7 +24,8 @@
 LOG_LINES_OF_A_KIND = 200
 
 
-async def _run(settings: _settings.PlatformSettings) -> None:
+async def _run(path: str) -> None:
+    settings = _settings.load_settings(path)
     metrics = store.StoreMetrics(observe.process_metrics())
     adapters = edge.EdgeAdapters(
         store=_store.PlatformStore(settings.store.address, metrics),
@@ -32,7 +33,11 @@
         dialect=_http.PlatformDialect(),
         codec=_http.PlatformCodec(),
     )
-    await edge.EdgeNode(_settings.edge_settings(settings), adapters).run()
+
+    def load() -> edge.EdgeSettings:
+        return _settings.edge_settings(_settings.load_settings(path))
+
+    await edge.EdgeNode(load(), adapters, load).run()
 
 
 def main() -> int:
@@ -52,8 +57,7 @@
         _LOG.error("platform: %s names no settings file", SETTINGS_VARIABLE)
         return UNUSABLE_SETTINGS_STATUS
     try:
-        settings = _settings.load_settings(path)
-        trio.run(_run, settings)
+        trio.run(_run, path)
     except errors.SettingsError as error:
         _LOG.error("platform: %s", error)
         return UNUSABLE_SETTINGS_STATUS
--- a/src/geraniumstair/platform/_decoder.py
+++ b/src/geraniumstair/platform/_decoder.py
@@ -54,15 +54,9 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = msgspec.field(
-        name="MaxHeaderBytes", default=16 * 1024
-    )
     max_body_bytes: int = msgspec.field(
         name="MaxBodyBytes", default=1024 * 1024
     )
-    idle_timeout_ms: float = msgspec.field(
-        name="IdleTimeoutMs", default=75_000.0
-    )
 
 
 class _Config(msgspec.Struct):
@@ -156,7 +150,6 @@
 
 
 def _route_table(config: _Config) -> routing.RouteTable:
-    limits = config.limits
     return routing.RouteTable(
         config.version,
         [_route(route) for route in config.routes],
@@ -168,11 +161,7 @@
             )
             for s in config.services
         },
-        routing.CallerLimits(
-            max_header_bytes=limits.max_header_bytes,
-            max_body_bytes=limits.max_body_bytes,
-            idle_timeout_ms=limits.idle_timeout_ms,
-        ),
+        routing.CallerLimits(max_body_bytes=config.limits.max_body_bytes),
     )
 
 
--- a/src/geraniumstair/platform/_http.py
+++ b/src/geraniumstair/platform/_http.py
@@ -57,7 +57,6 @@
     forward.RefusalReason.NO_CONFIGURATION: 503,
     forward.RefusalReason.NO_ROUTE: 404,
     forward.RefusalReason.NO_ENDPOINT: 503,
-    forward.RefusalReason.OVERLOADED: 503,
     forward.RefusalReason.TIMEOUT: 504,
     forward.RefusalReason.ENDPOINT_FAILED: 502,
 }
--- a/src/geraniumstair/routing/_table.py
+++ b/src/geraniumstair/routing/_table.py
@@ -80,14 +80,10 @@
     """Bounds on what callers send.
 
     Attributes:
-        max_header_bytes: Request line and headers.
         max_body_bytes: Body of a request.
-        idle_timeout_ms: Time that a connection may stay idle.
     """
 
-    max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 1024 * 1024
-    idle_timeout_ms: float = 75_000.0
 
 
 class RouteTable:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -305,7 +305,7 @@
     def test_readiness_follows_the_lifecycle(self) -> None:
         lifecycle = edge.Lifecycle(6.0)
         application = edge.ReadinessApplication(
-            lifecycle, "/ready", lambda: b"metrics"
+            lifecycle, "/ready", lambda: b"metrics", lambda: b"state"
         )
         statuses = []
 
@@ -321,8 +321,10 @@
         trio.run(ask, "/ready")
         trio.run(ask, "/metrics")
         trio.run(ask, "/x")
-        self.assertEqual(statuses[::2], [503, 200, 200, 404])
+        trio.run(ask, "/state")
+        self.assertEqual(statuses[::2], [503, 200, 200, 404, 200])
         self.assertEqual(statuses[5], b"metrics")
+        self.assertEqual(statuses[9], b"state")
 
     def test_outcomes_name_what_has_not_run(self) -> None:
         not_run = {o for o in forward.Outcome if o.not_run}
