Count the endpoints that another node tried as attempts

The asking node did not know which endpoints the other node had tried, and one of them had been replaced in its view.

A reply names the endpoints that may have run the request for each shard, and they count. A node that fell silent counts as having used all attempts where a shard has more endpoints than attempts.

The test of parts that another node lacks demanded a third endpoint for a shard; it now leaves one attempt, and a new test holds both nodes together to the attempts.

Ruled out: retries of the client, which have ids of their own.

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -757,6 +757,15 @@
     """
     The greatest records of the parts, greatest first.
     """
+    tried: Annotated[
+        list[list[str]],
+        Meta(
+            description="For each shard of the request, the endpoints that may have run it."
+        ),
+    ]
+    """
+    For each shard of the request, the endpoints that may have run it.
+    """
 
 
 class SnapshotQuery(Message):
--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -99,12 +99,17 @@
         records: The greatest records of these parts.
         failure: Why there are no parts; empty if there are.
         ran: The node may have called the shards.
+        tried: Endpoints that may have run the request, by shard; none for a
+            shard if the node did not tell.
     """
 
     signatures: Mapping[str, bytes]
     records: bytes
     failure: str = ""
     ran: bool = True
+    tried: Mapping[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class PendingGroup:
@@ -410,8 +415,12 @@
     reply = outcome.ok_value
     if not isinstance(reply, messages.PartsReply):
         return GroupReply({}, b"", "an unexpected reply")
+    tried = {
+        shard: frozenset(endpoints)
+        for shard, endpoints in zip(group.shards, reply.tried, strict=False)
+    }
     if reply.declined:
-        return GroupReply({}, b"", reply.declined, reply.ran)
+        return GroupReply({}, b"", reply.declined, reply.ran, tried)
     valid = range(len(group.shards))
     signatures = {
         group.shards[position]: signature
@@ -420,4 +429,4 @@
         )
         if position in valid
     }
-    return GroupReply(signatures, reply.records)
+    return GroupReply(signatures, reply.records, tried=tried)
--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -1,5 +1,7 @@
 """Takes a caller's request to its endpoints and returns what came of it."""
 
+from collections.abc import Sequence
+
 import trio
 
 from geraniumstair import routing
@@ -99,20 +101,20 @@
         request: _call.CallerRequest,
         route: routing.Route,
         shards: tuple[str, ...],
-    ) -> tuple[_result.ForwardResult, tuple[str, ...]]:
+    ) -> tuple[_result.ForwardResult, Sequence[_search.ShardOutcome]]:
         """Asks some shards of a search for another node.
 
         Returns at the latency goal with any part, because the other node
         knows what it lacks, and may still ask for it.
 
         Returns:
-            The outcome, and the shards that answered in the order of their
-            signatures.
+            The outcome, and that of each shard, in order. The answered ones
+            are in the order of the signatures.
         """
         self.in_progress += 1
         try:
             search = _search.Search(self._context, request, route, shards, 1)
-            return await search.run(), search.answered_shards()
+            return await search.run(), search.shard_outcomes()
         finally:
             self.in_progress -= 1
 
--- a/src/geraniumstair/forward/_parts_server.py
+++ b/src/geraniumstair/forward/_parts_server.py
@@ -1,5 +1,6 @@
 """Asks shards for another node; see `_delegation`."""
 
+from collections.abc import Sequence
 from typing import Protocol
 
 import trio
@@ -9,6 +10,7 @@
 from geraniumstair.forward import _call
 from geraniumstair.forward import _delegation
 from geraniumstair.forward import _result
+from geraniumstair.forward import _search
 
 
 class Gatherer(Protocol):
@@ -19,8 +21,8 @@
         request: _call.CallerRequest,
         route: routing.Route,
         shards: tuple[str, ...],
-    ) -> tuple[_result.ForwardResult, tuple[str, ...]]:
-        """Returns the outcome and the shards that answered, in order."""
+    ) -> tuple[_result.ForwardResult, Sequence[_search.ShardOutcome]]:
+        """Returns the outcome, and that of each shard, in order."""
         ...
 
 
@@ -67,12 +69,12 @@
         with trio.CancelScope() as scope:
             self._running[key] = scope
             try:
-                outcome, answered = await self._gatherer.gather(
+                outcome, shards = await self._gatherer.gather(
                     _decode(message),
                     route,
                     tuple(message.shards),
                 )
-                reply = _encode(message, outcome, answered)
+                reply = _encode(outcome, shards)
             finally:
                 del self._running[key]
         return reply
@@ -96,28 +98,35 @@
         return route
 
 
-def _declined(why: str, *, ran: bool) -> messages.PartsReply:
+def _declined(
+    why: str, *, ran: bool, tried: list[list[str]] | None = None
+) -> messages.PartsReply:
     return messages.PartsReply(
-        declined=why, ran=ran, answered=[], signatures=[], records=b""
+        declined=why,
+        ran=ran,
+        answered=[],
+        signatures=[],
+        records=b"",
+        tried=tried or [],
     )
 
 
 def _encode(
-    message: messages.PartsRequest,
-    outcome: _result.ForwardResult,
-    answered: tuple[str, ...],
+    outcome: _result.ForwardResult, shards: Sequence[_search.ShardOutcome]
 ) -> messages.PartsReply:
+    tried = [sorted(shard.tried) for shard in shards]
     if isinstance(outcome, _result.SearchResult):
-        positions = {name: i for i, name in enumerate(message.shards)}
         return messages.PartsReply(
             declined="",
             ran=True,
-            answered=[positions[name] for name in answered],
+            answered=[i for i, shard in enumerate(shards) if shard.answered],
             signatures=list(outcome.signatures),
             records=outcome.records,
+            tried=tried,
         )
     if isinstance(outcome, _result.Refused):
-        return _declined(outcome.detail, ran=not outcome.not_run)
+        ran = not outcome.not_run
+        return _declined(outcome.detail, ran=ran, tried=tried)
     return _declined("not a search", ran=True)
 
 
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 import functools
 import math
 from typing import Any
@@ -40,14 +41,26 @@
 class _Shard:
     """Calls for one part."""
 
-    __slots__ = ("delegated", "failed", "failure", "open", "part",
-                 "refusals", "retry_s", "runs", "service",
-                 "tried")  # fmt: skip
+    __slots__ = (
+        "delegated",
+        "failed",
+        "failure",
+        "open",
+        "part",
+        "ran",
+        "refusals",
+        "retry_s",
+        "runs",
+        "service",
+        "tried",
+    )
 
     def __init__(self, service: str) -> None:
         self.service = service
         self.open: dict[_call.Call, _replica.Replica] = {}
         self.tried: set[str] = set()
+        # Endpoints that may have run the request.
+        self.ran: set[str] = set()
         self.runs = 0
         self.refusals = 0
         self.retry_s = math.inf
@@ -62,6 +75,19 @@
         return self.part is None and not self.failed
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardOutcome:
+    """What came of one shard.
+
+    Attributes:
+        answered: Its part is in.
+        tried: Endpoints that may have run the request.
+    """
+
+    answered: bool
+    tried: frozenset[str]
+
+
 class Search:
     """Gathers the parts of one search.
 
@@ -194,21 +220,28 @@
         now_s = trio.current_time()
         if not reply.ran:
             budget.earn(shard.service)
-        elif not self._may_run_again(shard) or not budget.take(shard.service):
+        elif not self._may_run_again(shard, reply) or not budget.take(
+            shard.service
+        ):
             self._fail(shard)
             return
         self._arm_hedge(now_s)
         if not self._try_call(shard):
             self._pause(shard, now_s)
 
-    def _may_run_again(self, shard: _Shard) -> bool:
-        """Counts the other node's call; False if it was the last one allowed.
-
-        A shard with no more endpoints than attempts cannot run on too many.
-        """
+    def _may_run_again(
+        self, shard: _Shard, reply: _delegation.GroupReply
+    ) -> bool:
+        """Counts the other node's calls; False if no attempt is left."""
         attempts = self._route.max_attempts
-        if self._context.pool.size(shard.service) > attempts:
-            shard.runs += 1
+        tried = reply.tried.get(shard.service)
+        if tried is not None:
+            shard.tried |= tried
+            shard.runs += len(tried)
+        elif self._context.pool.size(shard.service) > attempts:
+            # A node that fell silent may have used all of them. It could not
+            # on fewer endpoints, whatever is called from here.
+            shard.runs = attempts
         return shard.runs < attempts
 
     def _arm_hedge(self, now_s: float) -> None:
@@ -249,6 +282,7 @@
             shard=shard.service,
         )
         shard.tried.add(replica.entry.endpoint_id)
+        shard.ran.add(replica.entry.endpoint_id)
         shard.runs += 1
         shard.open[call] = replica
         replica.submit(call)
@@ -283,6 +317,7 @@
     ) -> None:
         shard.failure = f"{call.endpoint_id}: {reply.detail}"
         if reply.outcome.not_run:
+            shard.ran.discard(call.endpoint_id)
             shard.runs -= 1
             shard.refusals += 1
         if shard.open:
@@ -429,11 +464,12 @@
             ],
         }
 
-    def answered_shards(self) -> tuple[str, ...]:
-        """Returns the shards with a part, in the order of the signatures."""
-        return tuple(
-            name for name, s in self._shards.items() if s.part is not None
-        )
+    def shard_outcomes(self) -> list["ShardOutcome"]:
+        """Returns the outcome of each shard, in the order of the request."""
+        return [
+            ShardOutcome(shard.part is not None, frozenset(shard.ran))
+            for shard in self._shards.values()
+        ]
 
     def _abandon(self) -> None:
         late = trio.current_time() >= self._deadlines.goal_s
--- a/tests/test_forward_delegation.py
+++ b/tests/test_forward_delegation.py
@@ -183,6 +183,11 @@
         async def test(nursery: trio.Nursery) -> None:
             site = _Site(nursery, min_coverage=0.75)
             failed = forward.Reply(forward.Outcome.FAILED, "", 500)
+            # One attempt is left, but not in the other node's budget.
+            site.far.budget.set_limits(forward.BudgetLimits(0.0, 10.0, 0.0))
+            for i in (5, 6):
+                while site.far.budget.take(f"s{i}"):
+                    pass
             for copy in "xy":
                 site.near.site.behaviour(f"{copy}0").reply = failed
                 for i in (5, 6):
@@ -193,6 +198,42 @@
 
         _run(test)
 
+    def test_both_nodes_together_keep_to_the_attempts(self) -> None:
+        # A day on the bench: an endpoint had been replaced, and a shard ran
+        # on two endpoints for the other node and a third one from here.
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery, min_coverage=0.75)
+            failed = forward.Reply(forward.Outcome.FAILED, "", 500)
+            for edge in (site.near, site.far):
+                for copy in "xy":
+                    edge.site.behaviour(f"{copy}5").reply = failed
+            # Only the other node knows yet that x5 was replaced by z5.
+            draining = discovery.EndpointState.DRAINING
+            for name, state in (
+                ("x5", draining),
+                ("z5", discovery.EndpointState.READY),
+            ):
+                site.far.registry.put(
+                    builders.entry(
+                        name,
+                        service="s5",
+                        availability_zone="b",
+                        state=state,
+                    )
+                )
+            site.far.pool.refresh()
+            site.far.site.behaviour("z5").reply = failed
+            await site.search()
+            ran = {
+                endpoint_id
+                for edge in (site.near, site.far)
+                for endpoint_id in edge.site.sent_to()
+                if endpoint_id.endswith("5")
+            }
+            self.assertLessEqual(len(ran), 2)
+
+        _run(test)
+
     def test_the_other_node_stops_when_the_caller_has_gone(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             site = _Site(nursery)
