Soak real node processes with faults from outside

soak/ starts nodes, a store and endpoints with faults, a proxy and callers on loopback and checks the promises from what callers and endpoints see.

--- a/devsite/_processes.py
+++ b/devsite/_processes.py
@@ -1,5 +1,6 @@
 """Child processes that do not survive their parent."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import ctypes
 import os
@@ -33,10 +34,15 @@
         name: Names the log file.
         arguments: Arguments after the Python interpreter.
         directory: Directory of the log file.
+        environment: Variables of the process; None inherits them.
     """
 
     def __init__(
-        self, name: str, arguments: Sequence[str], directory: pathlib.Path
+        self,
+        name: str,
+        arguments: Sequence[str],
+        directory: pathlib.Path,
+        environment: Mapping[str, str] | None = None,
     ) -> None:
         self.name = name
         self.log_path = directory / f"{name}.log"
@@ -53,6 +59,7 @@
                 stdout=output,
                 stderr=log,
                 start_new_session=True,
+                env=environment,
                 preexec_fn=_end_with_parent,  # noqa: PLW1509
             )
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real node processes on the platform's protocols."""
--- /dev/null
+++ b/soak/_site.py
@@ -0,0 +1,268 @@
+"""A site of real node processes, stand-ins and callers."""
+
+import json
+import os
+import pathlib
+import random
+import signal
+from typing import Any
+
+import trio
+
+from devsite import _ports
+from devsite import _processes
+from soak import _callers
+from soak import _endpoints
+from soak import _proxy
+from soak import _store
+
+ZONES = ("z1", "z2", "z3")
+SHARDS = 6
+GRACE_S = 6.0
+READY_TIMEOUT_S = 20.0
+READY_PATH = "/api/readiness"
+
+
+class Node:
+    """One node process.
+
+    Attributes:
+        stopped: It was stopped by a signal and has not been continued.
+    """
+
+    def __init__(
+        self, name: str, zone: str, store_port: int, directory: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.stopped = False
+        self.ports = _ports.free_ports(4)
+        self._zone = zone
+        self._directory = directory
+        self._store_port = store_port
+        self._process: _processes.ManagedProcess | None = None
+
+    @property
+    def url(self) -> str:
+        """Where callers reach it."""
+        return f"http://127.0.0.1:{self.ports[0]}"
+
+    @property
+    def running(self) -> bool:
+        """Whether the process runs."""
+        return self._process is not None and self._process.running
+
+    @property
+    def exit_status(self) -> int | None:
+        """Exit status of the last process; None while it runs."""
+        return self._process.exit_status if self._process else None
+
+    def start(self, seeds: list[str]) -> None:
+        """Writes the settings and starts a process."""
+        front, ready, control, metrics = self.ports
+        settings: dict[str, Any] = {
+            "NodeName": self.name,
+            "Zone": self._zone,
+            "Listen": {
+                "Front": f"127.0.0.1:{front}",
+                "Ready": f"127.0.0.1:{ready}",
+                "Control": f"127.0.0.1:{control}",
+            },
+            "InternalPorts": [metrics, metrics],
+            "Seeds": seeds,
+            "Limits": {"CpuShare": 1.0, "Cores": 1},
+            "Bounds": {"GraceS": GRACE_S, "BudgetSlack": 54},
+            "platform": {"Address": f"127.0.0.1:{self._store_port}"},
+        }
+        path = self._directory / f"{self.name}.json"
+        path.write_text(json.dumps(settings))
+        self._process = _processes.ManagedProcess(
+            self.name,
+            ["-m", "geraniumstair.platform"],
+            self._directory,
+            {**os.environ, "GERANIUMSTAIR_BOOT": str(path)},
+        )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        if self._process is not None and self._process.running:
+            self._process.signal(number)
+
+    async def wait(self) -> int:
+        """Waits for the end of the process."""
+        assert self._process is not None
+        return await self._process.wait()
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        if self._process is not None:
+            self._process.kill()
+
+
+class Site:
+    """Everything of one run; all of it ends with the nursery.
+
+    Attributes:
+        store: The stand-in of the store.
+        proxy: Between the nodes and the store.
+        endpoints: Living and gone ones.
+        nodes: The node processes.
+        tally: What callers saw.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        rng: random.Random,
+        directory: pathlib.Path,
+        nodes: int,
+    ) -> None:
+        self.store = _store.StandInStore(rng)
+        self.log = _endpoints.RunLog()
+        self.endpoints: list[_endpoints.StandInEndpoint] = []
+        self.nodes: list[Node] = []
+        self.tally = _callers.Tally()
+        self.shard_sets: list[frozenset[str]] = []
+        self._nursery = nursery
+        self._rng = rng
+        self._directory = directory
+        self._node_count = nodes
+        self._version = 0
+        self._next_id = 0
+
+    async def start(self) -> None:
+        """Starts everything and waits until all nodes are ready."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self._nursery.start_soon(
+            trio.serve_listeners, self.store.serve, listeners
+        )
+        self._nursery.start_soon(self.store.state.run)
+        self.proxy = _proxy.Proxy(listeners[0].socket.getsockname()[1])
+        await self._nursery.start(self.proxy.run)
+        for service in [*self.shard_names(0), *self.shard_names(1), "single"]:
+            for zone in ZONES[:2]:
+                await self.add_endpoint(service, zone)
+        self.change_routes(0)
+        for i in range(self._node_count):
+            zone = ZONES[i % len(ZONES)]
+            node = Node(f"n{i}", zone, self.proxy.port, self._directory)
+            self.nodes.append(node)
+        for node in self.nodes:
+            node.start(self.seeds())
+        for node in self.nodes:
+            await self.wait_ready(node)
+
+    def seeds(self) -> list[str]:
+        """Returns the peer listeners of the first nodes."""
+        return [f"127.0.0.1:{node.ports[2]}" for node in self.nodes[:3]]
+
+    def shard_names(self, index: int) -> list[str]:
+        """Returns the shards of one of two sets."""
+        return [f"set{index}-{i}" for i in range(SHARDS)]
+
+    async def wait_ready(self, node: Node) -> None:
+        """Waits until a node says that it is ready."""
+        with trio.fail_after(READY_TIMEOUT_S):
+            while not await _is_ready(node.ports[1]):
+                await trio.sleep(0.1)
+
+    async def add_endpoint(
+        self, service: str, zone: str
+    ) -> _endpoints.StandInEndpoint:
+        """Starts an endpoint and registers it."""
+        self._next_id += 1
+        endpoint = _endpoints.StandInEndpoint(
+            f"i-{self._next_id}", service, self.log, self._rng
+        )
+        await self._nursery.start(endpoint.run)
+        self.endpoints.append(endpoint)
+        self._register(endpoint, zone, "ready")
+        return endpoint
+
+    async def drain(self, endpoint: _endpoints.StandInEndpoint) -> None:
+        """Lets an endpoint leave as announced."""
+        self._register(endpoint, ZONES[0], "draining")
+        await trio.sleep(3.5)
+        self.store.remove(f"servers/{endpoint.endpoint_id}")
+        endpoint.gone = True
+
+    def _register(
+        self, endpoint: _endpoints.StandInEndpoint, zone: str, state: str
+    ) -> None:
+        self.store.write(
+            f"servers/{endpoint.endpoint_id}",
+            {
+                "Service": endpoint.service,
+                "Address": f"127.0.0.1:{endpoint.port}",
+                "Zone": zone,
+                "Version": "v1",
+                "Slots": 2,
+                "State": state,
+                "WarmupLeftMs": 0,
+                "Seq": 1,
+                "born": 1,
+            },
+        )
+
+    def change_routes(self, index: int) -> None:
+        """Writes a new version that names one of two sets of shards."""
+        self._version += self._rng.randint(1, 3)
+        shards = self.shard_names(index)
+        self.shard_sets.append(frozenset(shards))
+        route = {
+            "Host": _callers.HOST,
+            "TimeoutMs": 1500,
+            "LatencyGoalMs": 150,
+            "Priority": 1,
+            "MaxAttempts": 2,
+        }
+        self.store.write(
+            "op/config",
+            {
+                "Version": self._version,
+                "Routes": [
+                    route
+                    | {
+                        "Name": "search",
+                        "Prefix": _callers.SEARCH_PATH,
+                        "RouteType": "idempotent",
+                        "FanoutServices": shards,
+                        "TopK": _callers.TOP_RECORDS,
+                        "MinShardRatio": _callers.LEAST_COVERAGE,
+                    },
+                    route
+                    | {
+                        "Name": "single",
+                        "Prefix": _callers.SINGLE_PATH,
+                        "RouteType": "non_idempotent",
+                        "Service": "single",
+                    },
+                ],
+            },
+        )
+
+    def callers(self, count: int) -> list[_callers.Caller]:
+        """Returns callers of all nodes."""
+        urls = {node.name: node.url for node in self.nodes}
+        return [
+            _callers.Caller(
+                urls,
+                self.log,
+                self.shard_sets,
+                random.Random(self._rng.random()),
+                self.tally,
+            )
+            for _ in range(count)
+        ]
+
+
+async def _is_ready(port: int) -> bool:
+    request = f"GET {READY_PATH} HTTP/1.1\r\nhost: x\r\n\r\n".encode()
+    with trio.move_on_after(1.0):
+        try:
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            async with stream:
+                await stream.send_all(request)
+                return b" 200 " in await stream.receive_some(100)
+        except OSError:
+            return False
+    return False
--- a/standins/key_value/_state.py
+++ b/standins/key_value/_state.py
@@ -157,6 +157,10 @@
             if record.key == key and record.mod_revision >= from_revision
         ]
 
+    def all_changes(self, from_revision: int) -> Sequence[Record]:
+        """Returns the changes of all keys since a revision, oldest first."""
+        return [r for r in self._history if r.mod_revision >= from_revision]
+
     async def wait_revision(self, seen: int) -> int:
         """Waits until the revision exceeds `seen`, then returns it."""
         while self.revision <= seen:
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -9,7 +9,7 @@
 import pathlib
 import sys
 
-_FOLDERS = ("src", "standins", "bench", "devsite", "tools", "tests")
+_FOLDERS = ("src", "standins", "bench", "devsite", "soak", "tools", "tests")
 _FREE_MODULES = ("__future__", "typing", "collections.abc")
 
 
--- a/tools/check_style.py
+++ b/tools/check_style.py
@@ -18,8 +18,8 @@
     ("debug", "info", "warning", "error", "exception", "critical"), 0
 ) | {"log": 1}
 _FOLDERS = (
-    "src", "schema", "standins", "bench", "devsite", "tools", "tests", "docs",
-    ".ci",
+    "src", "schema", "standins", "bench", "devsite", "soak", "tools", "tests",
+    "docs", ".ci",
 )  # fmt: skip
 _SUFFIXES = (".py", ".yaml", ".md", ".html", ".css", ".json", "")
 _MACHINE_PATH = re.compile(r"(?<![\w.])/(?:home|root|work|Users)/\w")
