Serve the lifespan scope once, drop a parameter that nobody set

The lifespan loop stood in edge and in search, and _try_call of searches and single requests had a parameter that no caller used.

listeners.serve_lifespan serves both applications. Behaviour is the same.

--- a/src/geraniumstair/edge/_application.py
+++ b/src/geraniumstair/edge/_application.py
@@ -14,6 +14,7 @@
 import trio
 
 from geraniumstair import forward
+from geraniumstair import listeners
 from geraniumstair import observe
 from geraniumstair import routing
 from geraniumstair.edge import _lifecycle
@@ -110,7 +111,7 @@
     ) -> None:
         """Serves one ASGI scope."""
         if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+            await listeners.serve_lifespan(receive, send)
         elif scope["type"] == "http":
             await self._serve_request(scope, receive, send)
 
@@ -248,7 +249,7 @@
     ) -> None:
         """Serves one ASGI scope."""
         if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+            await listeners.serve_lifespan(receive, send)
             return
         if scope["type"] != "http":
             return
@@ -320,13 +321,3 @@
         if message["type"] == "http.disconnect":
             scope.cancel()
             return
-
-
-async def _serve_lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        if message["type"] == "lifespan.startup":
-            await send({"type": "lifespan.startup.complete"})
-        elif message["type"] == "lifespan.shutdown":
-            await send({"type": "lifespan.shutdown.complete"})
-            return
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -263,10 +263,8 @@
 
     # ---- calls ----
 
-    def _try_call(self, shard: _Shard, *, healthy: bool = False) -> bool:
-        replica = self._context.pool.choose(
-            shard.service, shard.tried, healthy=healthy
-        )
+    def _try_call(self, shard: _Shard) -> bool:
+        replica = self._context.pool.choose(shard.service, shard.tried)
         if replica is None:
             return False
         self._submit(shard, replica)
--- a/src/geraniumstair/forward/_single.py
+++ b/src/geraniumstair/forward/_single.py
@@ -93,10 +93,8 @@
         if not self._try_call():
             self._retry_s = now_s + RETRY_PAUSE_S
 
-    def _try_call(self, *, healthy: bool = False) -> bool:
-        replica = self._context.pool.choose(
-            self._service, self._tried, healthy=healthy
-        )
+    def _try_call(self) -> bool:
+        replica = self._context.pool.choose(self._service, self._tried)
         if replica is None:
             return False
         self._submit(replica)
--- a/src/geraniumstair/listeners/__init__.py
+++ b/src/geraniumstair/listeners/__init__.py
@@ -1,5 +1,6 @@
 """HTTP listeners."""
 
 from geraniumstair.listeners._listeners import serve_http
+from geraniumstair.listeners._listeners import serve_lifespan
 
-__all__ = ["serve_http"]
+__all__ = ["serve_http", "serve_lifespan"]
--- a/src/geraniumstair/listeners/_listeners.py
+++ b/src/geraniumstair/listeners/_listeners.py
@@ -62,3 +62,17 @@
         shutdown_trigger=shutdown,
         task_status=task_status,
     )
+
+
+async def serve_lifespan(
+    receive: Callable[[], Awaitable[Any]],
+    send: Callable[[dict[str, Any]], Awaitable[None]],
+) -> None:
+    """Serves the ASGI lifespan scope of an application without start-up."""
+    while True:
+        message = await receive()
+        if message["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        elif message["type"] == "lifespan.shutdown":
+            await send({"type": "lifespan.shutdown.complete"})
+            return
--- a/src/geraniumstair/search/_application.py
+++ b/src/geraniumstair/search/_application.py
@@ -12,6 +12,7 @@
 import trio
 
 from geraniumstair import errors
+from geraniumstair import listeners
 from geraniumstair._generated import codes
 from geraniumstair._generated import settings as settings_models
 from geraniumstair.search import _answer
@@ -110,7 +111,7 @@
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
+            await listeners.serve_lifespan(receive, send)
             return
         if scope["type"] != "http":
             # Websockets are closed before they are accepted.
@@ -305,16 +306,6 @@
         await send({"type": "http.response.body", "body": body})
 
 
-async def _serve_lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        event = await receive()
-        if event["type"] == "lifespan.startup":
-            await send({"type": "lifespan.startup.complete"})
-        elif event["type"] == "lifespan.shutdown":
-            await send({"type": "lifespan.shutdown.complete"})
-            return
-
-
 def caller_application(
     searcher: SearchRunner,
     readiness: _readiness.ReadinessState,
