--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -44,7 +44,7 @@
         "answered": tally.answered,
         "refused": tally.refused,
         "failed": tally.failed,
-        "cut": tally.cut,
+        "cut": len(tally.cuts),
         "recovered": recovered,
         "faults": faults,
         "injected": plan.log,
@@ -68,10 +68,12 @@
 async def _recover(site: _site.Site) -> float:
     """Returns the share of requests answered after the faults."""
     await trio.sleep(RECOVERY_S)
-    caller = site.callers(1)[0]
+    # Each node must have the newest version by now.
+    caller = site.callers(1, site.shard_sets[-1:])[0]
     answered = 0
-    for _ in range(RECOVERY_REQUESTS):
-        answered += await caller.ask()
+    for i in range(RECOVERY_REQUESTS):
+        node = site.nodes[i % len(site.nodes)]
+        answered += await caller.ask(node.name)
     return answered / RECOVERY_REQUESTS
 
 
@@ -87,6 +89,21 @@
     for node in site.nodes:
         if not node.running:
             faults.append(f"{node.name} ended by itself: {node.exit_status}")
+    return faults + _cut_faults(site)
+
+
+def _cut_faults(site: _site.Site) -> list[str]:
+    """Returns requests that a node lost though it neither died nor paused."""
+    nodes = {node.name: node for node in site.nodes}
+    ran = {request_id for request_id, _ in site.log.runs}
+    faults = []
+    for cut in site.tally.cuts:
+        if nodes[cut.node].was_disturbed(cut.from_s, cut.to_s):
+            continue
+        if cut.late:
+            faults.append(f"request {cut.request_id}: no answer of {cut.node}")
+        elif cut.request_id in ran:
+            faults.append(f"request {cut.request_id} ran, {cut.node} cut it")
     return faults
 
 
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -18,6 +18,25 @@
 _PROMISES = frozenset([408, 421, 429, 503])
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cut:
+    """A request without an answer.
+
+    Attributes:
+        request_id: The request.
+        node: Name of the node that was asked.
+        from_s: When it was sent, on the monotonic clock.
+        to_s: When its connection ended, or its time was over.
+        late: Its time was over.
+    """
+
+    request_id: str
+    node: str
+    from_s: float
+    to_s: float
+    late: bool
+
+
 @dataclasses.dataclass(slots=True)
 class Tally:
     """What callers saw.
@@ -27,7 +46,7 @@
         answered: Whole successes.
         refused: Answers that promise that the request has not run.
         failed: Other answers.
-        cut: Requests without an answer.
+        cuts: Requests without an answer.
         faults: Broken promises, one sentence each.
         promised: Requests that were said not to have run.
     """
@@ -36,7 +55,7 @@
     answered: int = 0
     refused: int = 0
     failed: int = 0
-    cut: int = 0
+    cuts: list[Cut] = dataclasses.field(default_factory=list)
     faults: list[str] = dataclasses.field(default_factory=list)
     promised: set[str] = dataclasses.field(default_factory=set)
 
@@ -73,15 +92,20 @@
             await trio.sleep(self._rng.uniform(0.02, 0.08))
             await self.ask()
 
-    async def ask(self) -> bool:
-        """Sends one request; True if it was answered in full."""
-        node = self._rng.choice(sorted(self._nodes))
+    async def ask(self, node: str = "") -> bool:
+        """Sends one request; True if it was answered in full.
+
+        Args:
+            node: Name of the node; empty picks one.
+        """
+        node = node or self._rng.choice(sorted(self._nodes))
         request_id = f"{self._rng.getrandbits(64):016x}"
         single = self._rng.random() < 0.3
         path = SINGLE_PATH if single else SEARCH_PATH
         self._tally.asked += 1
         response = None
-        with trio.move_on_after(REMAINING_MS / 1000 + 1):
+        from_s = trio.current_time()
+        with trio.move_on_after(REMAINING_MS / 1000 + 1) as scope:
             try:
                 response = await self._pool.request(
                     "POST" if single else "GET",
@@ -101,7 +125,15 @@
                 # The process has gone; nothing was promised.
                 response = None
         if response is None:
-            self._tally.cut += 1
+            self._tally.cuts.append(
+                Cut(
+                    request_id,
+                    node,
+                    from_s,
+                    trio.current_time(),
+                    scope.cancelled_caught,
+                )
+            )
             return False
         return self._check(request_id, single, response)
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -10,7 +10,8 @@
 from soak import _site
 from soak import _store
 
-KILLED = -signal.SIGKILL
+# What waited while a process stood still is done after it.
+AFTER_PAUSE_S = 1.0
 
 
 class FaultPlan:
@@ -45,7 +46,7 @@
             self._restart_node, self._kill_node, self._pause_node, self._hangup,
             self._store_fault, self._proxy_fault, self._forget,
             self._endpoint_fault, self._endpoint_fault, self._replace_endpoint,
-            self._change_routes,
+            self._endpoint_proxy_fault, self._change_routes,
         ]  # fmt: skip
         while trio.current_time() < end_s:
             await trio.sleep(self._rng.uniform(0.2, 1.0))
@@ -54,7 +55,9 @@
     def calm(self) -> None:
         """Ends the faults of endpoints, store and proxy."""
         self._site.store.fault = _store.StoreFault.NONE
-        self._site.proxy.fault = _proxy.ProxyFault.NONE
+        for proxy in self._site.proxies.values():
+            proxy.fault = _proxy.ProxyFault.NONE
+            proxy.reset()
         for endpoint in self._site.endpoints:
             endpoint.fault = _endpoints.EndpointFault.NONE
 
@@ -71,6 +74,11 @@
         self._busy.add(node.name)
         return node
 
+    def _kill(self, node: _site.Node) -> None:
+        now_s = trio.current_time()
+        node.disturb(now_s, now_s)
+        node.kill()
+
     async def _restart(self, node: _site.Node) -> None:
         await trio.sleep(0.2)
         node.start(self._site.seeds())
@@ -88,7 +96,7 @@
             status = await node.wait()
         if status != 0:
             self.faults.append(f"{node.name} ended with {status} after SIGTERM")
-            node.kill()
+            self._kill(node)
         await self._restart(node)
 
     async def _kill_node(self) -> None:
@@ -96,7 +104,7 @@
         if node is None:
             return
         self._note(f"SIGKILL {node.name}")
-        node.kill()
+        self._kill(node)
         await self._restart(node)
 
     async def _pause_node(self) -> None:
@@ -104,8 +112,11 @@
         if node is None:
             return
         self._note(f"SIGSTOP {node.name}")
+        pause_s = self._rng.uniform(0.3, 3.0)
+        now_s = trio.current_time()
+        node.disturb(now_s, now_s + pause_s + AFTER_PAUSE_S)
         node.signal(signal.SIGSTOP)
-        await trio.sleep(self._rng.uniform(0.3, 3.0))
+        await trio.sleep(pause_s)
         node.signal(signal.SIGCONT)
         self._busy.discard(node.name)
 
@@ -122,13 +133,28 @@
         self._site.store.fault = _store.StoreFault.NONE
 
     async def _proxy_fault(self) -> None:
+        name = self._rng.choice(
+            ["store", *(node.name for node in self._site.nodes)]
+        )
+        await self._disturb_proxy(name)
+
+    async def _endpoint_proxy_fault(self) -> None:
+        living = [e.endpoint_id for e in self._site.endpoints if not e.gone]
+        await self._disturb_proxy(self._rng.choice(living))
+
+    async def _disturb_proxy(self, name: str) -> None:
+        proxy = self._site.proxies[name]
         fault = self._rng.choice(list(_proxy.ProxyFault))
-        self._note(f"proxy {fault.value}, connections reset")
-        self._site.proxy.reset()
-        self._site.proxy.fault = fault
+        reset = fault is _proxy.ProxyFault.NONE or self._rng.random() < 0.3
+        self._note(f"proxy of {name} {fault.value}{' reset' * reset}")
+        proxy.fault = fault
+        if reset:
+            proxy.reset()
         await trio.sleep(self._rng.uniform(0.5, 3.0))
-        self._site.proxy.fault = _proxy.ProxyFault.NONE
-        self._site.proxy.reset()
+        proxy.fault = _proxy.ProxyFault.NONE
+        if fault in (_proxy.ProxyFault.SILENCE, _proxy.ProxyFault.ONE_WAY):
+            # Bytes were dropped, so the connections cannot go on.
+            proxy.reset()
 
     async def _forget(self) -> None:
         self._note("store forgets its history")
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -27,15 +27,19 @@
     """One node process.
 
     Attributes:
-        stopped: It was stopped by a signal and has not been continued.
+        peer_proxy: Between its peer listener and the other nodes.
+        disturbances: Times at which requests may be lost, because the
+            process was killed or stood still.
     """
 
     def __init__(
         self, name: str, zone: str, store_port: int, directory: pathlib.Path
     ) -> None:
         self.name = name
-        self.stopped = False
         self.ports = _ports.free_ports(4)
+        # What other nodes see as its peer listener.
+        self.peer_proxy = _proxy.Proxy(self.ports[2])
+        self.disturbances: list[tuple[float, float]] = []
         self._zone = zone
         self._directory = directory
         self._store_port = store_port
@@ -82,6 +86,17 @@
             {**os.environ, "GERANIUMSTAIR_BOOT": str(path)},
         )
 
+    def disturb(self, from_s: float, to_s: float) -> None:
+        """Notes a time at which requests may be lost."""
+        self.disturbances.append((from_s, to_s))
+
+    def was_disturbed(self, from_s: float, to_s: float) -> bool:
+        """True if requests may have been lost in a span of time."""
+        return any(
+            start_s <= to_s and from_s <= end_s
+            for start_s, end_s in self.disturbances
+        )
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
         if self._process is not None and self._process.running:
@@ -103,7 +118,8 @@
 
     Attributes:
         store: The stand-in of the store.
-        proxy: Between the nodes and the store.
+        proxies: By name; they stand before the store, before the peer
+            listener of each node and before each endpoint.
         endpoints: Living and gone ones.
         nodes: The node processes.
         tally: What callers saw.
@@ -119,6 +135,7 @@
         self.store = _store.StandInStore(rng)
         self.log = _endpoints.RunLog()
         self.endpoints: list[_endpoints.StandInEndpoint] = []
+        self.proxies: dict[str, _proxy.Proxy] = {}
         self.nodes: list[Node] = []
         self.tally = _callers.Tally()
         self.shard_sets: list[frozenset[str]] = []
@@ -136,24 +153,30 @@
             trio.serve_listeners, self.store.serve, listeners
         )
         self._nursery.start_soon(self.store.state.run)
-        self.proxy = _proxy.Proxy(listeners[0].socket.getsockname()[1])
-        await self._nursery.start(self.proxy.run)
+        store_proxy = _proxy.Proxy(listeners[0].socket.getsockname()[1])
+        await self._start_proxy("store", store_proxy)
         for service in [*self.shard_names(0), *self.shard_names(1), "single"]:
             for zone in ZONES[:2]:
                 await self.add_endpoint(service, zone)
         self.change_routes(0)
         for i in range(self._node_count):
             zone = ZONES[i % len(ZONES)]
-            node = Node(f"n{i}", zone, self.proxy.port, self._directory)
+            node = Node(f"n{i}", zone, store_proxy.port, self._directory)
+            await self._start_proxy(node.name, node.peer_proxy)
+            self.store.peer_ports[node.ports[2]] = node.peer_proxy.port
             self.nodes.append(node)
         for node in self.nodes:
             node.start(self.seeds())
         for node in self.nodes:
             await self.wait_ready(node)
 
+    async def _start_proxy(self, name: str, proxy: _proxy.Proxy) -> None:
+        await self._nursery.start(proxy.run)
+        self.proxies[name] = proxy
+
     def seeds(self) -> list[str]:
         """Returns the peer listeners of the first nodes."""
-        return [f"127.0.0.1:{node.ports[2]}" for node in self.nodes[:3]]
+        return [f"127.0.0.1:{n.peer_proxy.port}" for n in self.nodes[:3]]
 
     def shard_names(self, index: int) -> list[str]:
         """Returns the shards of one of two sets."""
@@ -174,6 +197,8 @@
             f"i-{self._next_id}", service, self.log, self._rng
         )
         await self._nursery.start(endpoint.run)
+        proxy = _proxy.Proxy(endpoint.port)
+        await self._start_proxy(endpoint.endpoint_id, proxy)
         self.endpoints.append(endpoint)
         self._register(endpoint, zone, "ready")
         return endpoint
@@ -188,11 +213,12 @@
     def _register(
         self, endpoint: _endpoints.StandInEndpoint, zone: str, state: str
     ) -> None:
+        proxy = self.proxies[endpoint.endpoint_id]
         self.store.write(
             f"servers/{endpoint.endpoint_id}",
             {
                 "Service": endpoint.service,
-                "Address": f"127.0.0.1:{endpoint.port}",
+                "Address": f"127.0.0.1:{proxy.port}",
                 "Zone": zone,
                 "Version": "v1",
                 "Slots": 2,
@@ -240,14 +266,21 @@
             },
         )
 
-    def callers(self, count: int) -> list[_callers.Caller]:
-        """Returns callers of all nodes."""
+    def callers(
+        self, count: int, shard_sets: list[frozenset[str]] | None = None
+    ) -> list[_callers.Caller]:
+        """Returns callers of all nodes.
+
+        Args:
+            count: How many.
+            shard_sets: What a search may name; None allows all versions.
+        """
         urls = {node.name: node.url for node in self.nodes}
         return [
             _callers.Caller(
                 urls,
                 self.log,
-                self.shard_sets,
+                self.shard_sets if shard_sets is None else shard_sets,
                 random.Random(self._rng.random()),
                 self.tally,
             )
--- a/soak/_store.py
+++ b/soak/_store.py
@@ -31,11 +31,14 @@
     Attributes:
         state: Keys, revisions and leases.
         fault: How it misbehaves now.
+        peer_ports: Ports of proxies by port of the peer listener. Nodes are
+            registered with the former, so that they meet through proxies.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self.state = _state.KeyValueState()
         self.fault = StoreFault.NONE
+        self.peer_ports: dict[int, int] = {}
         self._rng = rng
 
     def write(self, key: str, value: object) -> None:
@@ -113,7 +116,7 @@
         operations = [
             _state.Operation(
                 row["Key"].encode(),
-                base64.b64decode(row["Value"]),
+                self._through_proxy(base64.b64decode(row["Value"])),
                 row["Lease"],
             )
             for row in body["Writes"]
@@ -129,6 +132,12 @@
             return _reply(412, {"items": []})
         return _reply(200, {"Revision": self.state.revision})
 
+    def _through_proxy(self, value: bytes) -> bytes:
+        registration = json.loads(value)
+        port = registration["port"]
+        registration["port"] = self.peer_ports.get(port, port)
+        return json.dumps(registration).encode()
+
     def _lease(self, path: str, body: bytes) -> lean_http.HttpResponse:
         if path == "/api/kv-lease":
             ttl_ms = json.loads(body)["TtlMs"]
--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -14,6 +14,7 @@
 from geraniumstair.forward import _report
 from geraniumstair.forward import _result
 from geraniumstair.forward import _search
+from geraniumstair.forward import _shard
 from geraniumstair.forward import _single
 from geraniumstair.forward import _timing
 
@@ -103,7 +104,7 @@
         request: _call.CallerRequest,
         route: routing.Route,
         shards: tuple[str, ...],
-    ) -> tuple[_result.ForwardResult, Sequence[_search.ShardOutcome]]:
+    ) -> tuple[_result.ForwardResult, Sequence[_shard.ShardOutcome]]:
         """Asks some shards of a search for another node.
 
         Returns at the latency goal with any part, because the other node
--- a/src/geraniumstair/forward/_parts_server.py
+++ b/src/geraniumstair/forward/_parts_server.py
@@ -10,7 +10,7 @@
 from geraniumstair.forward import _call
 from geraniumstair.forward import _delegation
 from geraniumstair.forward import _result
-from geraniumstair.forward import _search
+from geraniumstair.forward import _shard
 
 
 class Gatherer(Protocol):
@@ -21,7 +21,7 @@
         request: _call.CallerRequest,
         route: routing.Route,
         shards: tuple[str, ...],
-    ) -> tuple[_result.ForwardResult, Sequence[_search.ShardOutcome]]:
+    ) -> tuple[_result.ForwardResult, Sequence[_shard.ShardOutcome]]:
         """Returns the outcome, and that of each shard, in order."""
         ...
 
@@ -112,7 +112,7 @@
 
 
 def _encode(
-    outcome: _result.ForwardResult, shards: Sequence[_search.ShardOutcome]
+    outcome: _result.ForwardResult, shards: Sequence[_shard.ShardOutcome]
 ) -> messages.PartsReply:
     tried = [sorted(shard.tried) for shard in shards]
     if isinstance(outcome, _result.SearchResult):
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
-import dataclasses
 import functools
 import math
 from typing import Any
@@ -16,6 +15,7 @@
 from geraniumstair.forward import _records
 from geraniumstair.forward import _replica
 from geraniumstair.forward import _result
+from geraniumstair.forward import _shard
 from geraniumstair.forward import _timing
 
 # A shard whose endpoints refused or could not be reached is tried again
@@ -38,56 +38,6 @@
     return max(1, math.ceil(route.min_coverage * len(route.shards) - 1e-9))
 
 
-class _Shard:
-    """Calls for one part."""
-
-    __slots__ = (
-        "delegated",
-        "failed",
-        "failure",
-        "open",
-        "part",
-        "ran",
-        "refusals",
-        "retry_s",
-        "runs",
-        "service",
-        "tried",
-    )
-
-    def __init__(self, service: str) -> None:
-        self.service = service
-        self.open: dict[_call.Call, _replica.Replica] = {}
-        self.tried: set[str] = set()
-        # Endpoints that may have run the request.
-        self.ran: set[str] = set()
-        self.runs = 0
-        self.refusals = 0
-        self.retry_s = math.inf
-        self.part: _call.Reply | None = None
-        self.failed = False
-        self.failure = ""
-        self.delegated = False
-
-    @property
-    def pending(self) -> bool:
-        """True while a part may still come."""
-        return self.part is None and not self.failed
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ShardOutcome:
-    """What came of one shard.
-
-    Attributes:
-        answered: Its part is in.
-        tried: Endpoints that may have run the request.
-    """
-
-    answered: bool
-    tried: frozenset[str]
-
-
 class Search:
     """Gathers the parts of one search.
 
@@ -115,7 +65,7 @@
         self._route = route
         self._prepared = context.dialect.prepare(request)
         self._deadlines = _timing.deadlines(request, route, context.margins)
-        self._shards = {name: _Shard(name) for name in shards}
+        self._shards = {name: _shard.Shard(name) for name in shards}
         self._least = least
         self._delegation = delegation
         self._groups: list[_delegation.PendingGroup] = []
@@ -212,7 +162,9 @@
         if self._decided():
             self._wake.set()
 
-    def _take_over(self, shard: _Shard, reply: _delegation.GroupReply) -> None:
+    def _take_over(
+        self, shard: _shard.Shard, reply: _delegation.GroupReply
+    ) -> None:
         """Asks a shard that another node did not ask, or in vain."""
         shard.failure = reply.failure or "the other node has no part"
         shard.delegated = False
@@ -230,7 +182,7 @@
             self._pause(shard, now_s)
 
     def _may_run_again(
-        self, shard: _Shard, reply: _delegation.GroupReply
+        self, shard: _shard.Shard, reply: _delegation.GroupReply
     ) -> bool:
         """Counts the other node's calls; False if no attempt is left."""
         attempts = self._route.max_attempts
@@ -263,14 +215,14 @@
 
     # ---- calls ----
 
-    def _try_call(self, shard: _Shard) -> bool:
+    def _try_call(self, shard: _shard.Shard) -> bool:
         replica = self._context.pool.choose(shard.service, shard.tried)
         if replica is None:
             return False
         self._submit(shard, replica)
         return True
 
-    def _submit(self, shard: _Shard, replica: _replica.Replica) -> None:
+    def _submit(self, shard: _shard.Shard, replica: _replica.Replica) -> None:
         call = _call.Call(
             prepared=self._prepared,
             deadline_s=self._deadlines.caller_s,
@@ -299,7 +251,7 @@
             self._wake.set()
 
     def _take_part(
-        self, shard: _Shard, reply: _call.Reply, took_ms: float
+        self, shard: _shard.Shard, reply: _call.Reply, took_ms: float
     ) -> None:
         shard.part = reply
         self._answered += 1
@@ -308,7 +260,7 @@
 
     def _retry(
         self,
-        shard: _Shard,
+        shard: _shard.Shard,
         call: _call.Call,
         reply: _call.Reply,
         now_s: float,
@@ -339,11 +291,11 @@
             else:
                 self._fail(shard)
 
-    def _pause(self, shard: _Shard, now_s: float) -> None:
+    def _pause(self, shard: _shard.Shard, now_s: float) -> None:
         shard.retry_s = now_s + RETRY_PAUSE_S
         self._wake.set()
 
-    def _fail(self, shard: _Shard) -> None:
+    def _fail(self, shard: _shard.Shard) -> None:
         shard.failed = True
         self._failed += 1
 
@@ -358,7 +310,7 @@
         if now_s >= self._check_s:
             self._check_groups(now_s)
 
-    def _call_again(self, shard: _Shard, now_s: float) -> None:
+    def _call_again(self, shard: _shard.Shard, now_s: float) -> None:
         if self._try_call(shard):
             return
         shard.refusals += 1
@@ -438,7 +390,7 @@
             f"{self._failed} failed",
         )
 
-    def _abandon_shard(self, shard: _Shard) -> None:
+    def _abandon_shard(self, shard: _shard.Shard) -> None:
         now_s = trio.current_time()
         for call, replica in shard.open.items():
             replica.abandon(call, now_s)
@@ -462,10 +414,10 @@
             ],
         }
 
-    def shard_outcomes(self) -> list["ShardOutcome"]:
+    def shard_outcomes(self) -> list[_shard.ShardOutcome]:
         """Returns the outcome of each shard, in the order of the request."""
         return [
-            ShardOutcome(shard.part is not None, frozenset(shard.ran))
+            _shard.ShardOutcome(shard.part is not None, frozenset(shard.ran))
             for shard in self._shards.values()
         ]
 
