Do not blame an endpoint for one long request

An abandoned call counts against its endpoint only if the endpoint has answered nothing since; a call that has lasted 350 ms when it is abandoned is ended at once. Log lines of incomplete searches say why a call was not repeated.

Measured: both tests fail on the code before.

--- a/src/geraniumstair/forward/_call.py
+++ b/src/geraniumstair/forward/_call.py
@@ -135,6 +135,7 @@
         sent_s: When its first byte was sent.
         done: The reply was delivered or nobody waits for it.
         abandoned_s: When nobody waited for it any more.
+        ended: Its connection was closed here to end the work on it.
     """
 
     prepared: PreparedRequest
@@ -149,6 +150,7 @@
     sent_s: float = 0.0
     done: bool = False
     abandoned_s: float = 0.0
+    ended: bool = False
 
     def finish(self, reply: Reply) -> None:
         """Delivers the reply unless nobody waits for it."""
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -33,7 +33,9 @@
 AVOID_MAX_S = 3.0
 CONNECT_RETRY_S = 0.3
 # An abandoned call that still runs after this time gets its connection
-# closed, which ends the work at the endpoint. Half a second is allowed.
+# closed, which ends the work at the endpoint. Half a second is allowed. A call
+# that has lasted as long when it is abandoned is ended at once: it would keep
+# a slot from calls that somebody waits for.
 ABANDONED_LIMIT_S = 0.35
 
 
@@ -167,13 +169,25 @@
         for call, link in list(self._running.items()):
             if not call.done:
                 continue
-            if now_s - call.abandoned_s >= ABANDONED_LIMIT_S:
-                self.failure_share += FAILURE_WEIGHT * (1 - self.failure_share)
-                self._fail(now_s)
-                link.close()
+            lasted_s = max(
+                now_s - call.abandoned_s, call.abandoned_s - call.sent_s
+            )
+            if lasted_s >= ABANDONED_LIMIT_S:
+                self._end_abandoned(call, link, now_s)
         if self._waiting:
             self._dispatch()
 
+    def _end_abandoned(
+        self, call: _call.Call, link: _link.Link, now_s: float
+    ) -> None:
+        # An endpoint that has answered others meanwhile is sound; the request
+        # itself takes long.
+        if self._last_reply_s <= call.sent_s:
+            self.failure_share += FAILURE_WEIGHT * (1 - self.failure_share)
+            self._fail(now_s)
+        call.ended = True
+        link.close()
+
     def close(self) -> None:
         """Sends nothing more; running calls may end."""
         self._closed = True
@@ -298,6 +312,8 @@
     # ---- health ----
 
     def _note(self, call: _call.Call, reply: _call.Reply) -> None:
+        if call.ended:
+            return
         now_s = trio.current_time()
         outcome = reply.outcome
         if outcome in (_call.Outcome.ANSWERED, _call.Outcome.FAILED):
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -331,10 +331,13 @@
                 shard.service, shard.tried, healthy=True
             )
             if replica is None:
+                shard.failure = "no other sound endpoint for a repeat"
                 self._hedge_s = min(self._hedge_s, now_s + RETRY_PAUSE_S)
             elif not self._context.budget.take(shard.service):
+                shard.failure = "no repeat is left in the budget"
                 self._hedge_s = min(self._hedge_s, now_s + BUDGET_PAUSE_S)
             else:
+                shard.failure = ""
                 self._context.metrics.extra_calls.labels("hedge").inc()
                 self.repeats += 1
                 self._submit(shard, replica)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -417,6 +417,43 @@
 
         _run(test)
 
+    def test_a_long_request_does_not_discredit_its_endpoint(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.route(timeout_ms=400.0)
+            edge = builders.Edge(nursery, [builders.entry("x")], [route])
+
+            async def ask() -> None:
+                await edge.forwarder.forward(builders.caller_request(), route)
+
+            edge.site.behaviour("x").reply = None
+            nursery.start_soon(ask)
+            await trio.sleep(0.1)
+            # Others are answered while the first request takes its time.
+            edge.site.behaviours["x"] = builders.Behaviour()
+            await ask()
+            await trio.sleep(0.4)
+            state = edge.pool.dump()["s1"][0]
+            self.assertEqual(state["running"], 0)
+            self.assertEqual(state["avoided_for_s"], 0)
+            self.assertEqual(state["failure_share"], 0)
+
+        _run(test)
+
+    def test_a_silent_endpoint_is_avoided_when_a_request_times_out(
+        self,
+    ) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.route(timeout_ms=400.0)
+            edge = builders.Edge(nursery, [builders.entry("x")], [route])
+            edge.site.behaviour("x").reply = None
+            await edge.forwarder.forward(builders.caller_request(), route)
+            await trio.sleep(0.1)
+            state = edge.pool.dump()["s1"][0]
+            self.assertEqual(state["running"], 0)
+            self.assertGreater(state["avoided_for_s"], 0)
+
+        _run(test)
+
     def test_connections_of_all_nodes_fit_the_endpoint(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             members = [f"n{i}" for i in range(1, 81)]
