--- a/src/geraniumstair/dispatch/_choice.py
+++ b/src/geraniumstair/dispatch/_choice.py
@@ -4,8 +4,8 @@
 from collections.abc import Sequence
 import dataclasses
 
+from geraniumstair import verdict
 from geraniumstair.dispatch import _endpoint
-from geraniumstair.dispatch import _versions
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,7 +28,7 @@
     prefer_cold: bool
     refused: Collection[_endpoint.Endpoint]
     tried: Collection[_endpoint.Endpoint]
-    gate: _versions.VersionGate | None
+    gate: verdict.VersionGate | None
 
 
 def choose(
--- a/src/geraniumstair/dispatch/_dispatcher.py
+++ b/src/geraniumstair/dispatch/_dispatcher.py
@@ -15,7 +15,7 @@
 
 from geraniumstair import configuration
 from geraniumstair import membership
-from geraniumstair import rollout
+from geraniumstair import verdict
 from geraniumstair._generated import codes
 from geraniumstair._generated import messages
 from geraniumstair.dispatch import _client
@@ -26,7 +26,6 @@
 from geraniumstair.dispatch import _replicas
 from geraniumstair.dispatch import _shard
 from geraniumstair.dispatch import _timers
-from geraniumstair.dispatch import _versions
 
 _logger = logging.getLogger(__name__)
 
@@ -65,7 +64,7 @@
         client_factory: _client.ClientFactory = _http_client.HttpClient,
         authority: AuthorityReader | None = None,
         wall_clock: Callable[[], float] = time.time,
-        on_version_stopped: _versions.StopListener | None = None,
+        on_version_stopped: verdict.StopListener | None = None,
     ) -> None:
         self._region = region
         self._topology: configuration.Topology | None = None
@@ -79,7 +78,7 @@
         self._nursery: trio.Nursery | None = None
         self._unstarted: list[_connection.ConnectionWorker] = []
         self._on_version_stopped = on_version_stopped
-        self._versions = _versions.VersionBook(wall_clock, self._stop_version)
+        self._versions = verdict.VersionBook(wall_clock, self._stop_version)
         self._surroundings = _replicas.Surroundings(
             availability_zone=availability_zone,
             client_factory=client_factory,
@@ -386,7 +385,7 @@
     # Versions.
 
     def adopt_version_shares(
-        self, shares: Sequence[rollout.VersionShare]
+        self, shares: Sequence[verdict.VersionShare]
     ) -> None:
         """Adopts the shares of all running rollouts."""
         self._versions.adopt(shares)
--- a/src/geraniumstair/dispatch/_replicas.py
+++ b/src/geraniumstair/dispatch/_replicas.py
@@ -10,6 +10,7 @@
 
 from geraniumstair import calls
 from geraniumstair import configuration
+from geraniumstair import verdict
 from geraniumstair._generated import messages
 from geraniumstair.dispatch import _client
 from geraniumstair.dispatch import _connection
@@ -17,7 +18,6 @@
 from geraniumstair.dispatch import _metrics
 from geraniumstair.dispatch import _outlier
 from geraniumstair.dispatch import _pending
-from geraniumstair.dispatch import _versions
 from geraniumstair.membership import _authority
 
 _logger = logging.getLogger(__name__)
@@ -40,7 +40,7 @@
     availability_zone: str
     client_factory: _client.ClientFactory
     authority: Callable[[configuration.ShardKey, bool], _authority.Authority]
-    versions: _versions.VersionBook
+    versions: verdict.VersionBook
     spawn: Callable[[_connection.ConnectionWorker], None]
     request_prefix: bytes
     request_numbers: "itertools.count[int]"
@@ -121,7 +121,7 @@
         route = pending.request.route
         versions = self._surroundings.versions
         if reply.outcome is _client.Outcome.ANSWERED:
-            answer = _versions.Answer(
+            answer = verdict.Answer(
                 endpoint=endpoint.spec.name,
                 latency_ms=elapsed_ms,
                 abandoned=False,
@@ -166,7 +166,7 @@
                 self._key.service,
                 endpoint.spec.version,
                 pending.request.route,
-                _versions.Answer(
+                verdict.Answer(
                     endpoint=endpoint.spec.name,
                     latency_ms=elapsed_ms,
                     abandoned=True,
--- a/src/geraniumstair/dispatch/_starter.py
+++ b/src/geraniumstair/dispatch/_starter.py
@@ -5,6 +5,7 @@
 import trio
 
 from geraniumstair import configuration
+from geraniumstair import verdict
 from geraniumstair.dispatch import _budget
 from geraniumstair.dispatch import _choice
 from geraniumstair.dispatch import _client
@@ -13,7 +14,6 @@
 from geraniumstair.dispatch import _metrics
 from geraniumstair.dispatch import _pending
 from geraniumstair.dispatch import _replicas
-from geraniumstair.dispatch import _versions
 from geraniumstair.membership import _authority
 
 MIN_HEDGE_DELAY_MS = 2.0
@@ -94,7 +94,7 @@
             gate=self._gate(),
         )
 
-    def _gate(self) -> _versions.VersionGate | None:
+    def _gate(self) -> verdict.VersionGate | None:
         """Returns the gate, unless it would leave the shard unserved.
 
         When all traffic has moved and no endpoint of the new version can be
--- a/src/geraniumstair/edge/__init__.py
+++ b/src/geraniumstair/edge/__init__.py
@@ -12,9 +12,15 @@
 from geraniumstair.edge._presence import Member
 from geraniumstair.edge._presence import Presence
 from geraniumstair.edge._presence import neighbours
+from geraniumstair.edge._rollouts import RecordEncoder
+from geraniumstair.edge._rollouts import RolloutOrder
+from geraniumstair.edge._rollouts import RolloutRecord
+from geraniumstair.edge._rollouts import Rollouts
 from geraniumstair.edge._state import DesiredState
 from geraniumstair.edge._state import EndpointChanged
 from geraniumstair.edge._state import EndpointGone
+from geraniumstair.edge._state import RolloutOrderGone
+from geraniumstair.edge._state import RolloutRecordGone
 from geraniumstair.edge._state import RoutesChanged
 from geraniumstair.edge._state import StateChange
 from geraniumstair.edge._state import StateDecoder
@@ -34,7 +40,13 @@
     "Member",
     "Presence",
     "ReadinessApplication",
+    "RecordEncoder",
     "RequestHead",
+    "RolloutOrder",
+    "RolloutOrderGone",
+    "RolloutRecord",
+    "RolloutRecordGone",
+    "Rollouts",
     "RoutesChanged",
     "StateChange",
     "StateDecoder",
--- a/src/geraniumstair/edge/_node.py
+++ b/src/geraniumstair/edge/_node.py
@@ -24,6 +24,7 @@
 from geraniumstair.edge import _application
 from geraniumstair.edge import _lifecycle
 from geraniumstair.edge import _presence
+from geraniumstair.edge import _rollouts
 from geraniumstair.edge import _state
 
 _LOG = logging.getLogger(__name__)
@@ -54,6 +55,8 @@
         budget: Repeats that the site allows each service.
         remote_cost_ms: What a call to another availability zone costs.
         processor_cores: Processor time that the node may use, in cores.
+        exposure_share: Share of a service's requests that a version may get
+            that may be bad, 0 to 1.
     """
 
     node_id: str
@@ -69,6 +72,7 @@
     budget: forward.BudgetLimits
     remote_cost_ms: float
     processor_cores: float
+    exposure_share: float
 
 
 class Store(mirror.StoreSource, _presence.LeaseStore, Protocol):
@@ -82,12 +86,14 @@
     Attributes:
         store: The platform's store.
         decoder: Reads what others wrote to it.
+        encoder: Writes what the operator reads in it.
         dialect: What endpoints speak.
         codec: What callers speak.
     """
 
     store: Store
     decoder: _state.StateDecoder
+    encoder: _rollouts.RecordEncoder
     dialect: forward.Dialect
     codec: _application.CallerCodec
 
@@ -153,6 +159,14 @@
     def _start(self, nursery: trio.Nursery) -> None:
         settings = self._settings
         metrics = forward.ForwardMetrics(observe.process_metrics())
+        self._rollouts = _rollouts.Rollouts(
+            settings.node_id,
+            settings.exposure_share,
+            self._adapters.store,
+            self._adapters.encoder,
+            self._network,
+            trio.current_time,
+        )
         pool = forward.EndpointPool(
             forward.PoolSettings(
                 settings.node_id,
@@ -163,12 +177,13 @@
             forward.TcpLinkFactory(self._adapters.dialect),
             nursery,
             metrics,
+            self._rollouts.versions,
             random.Random(),
         )
         self._pool = pool
         self._budget.set_users(pool.users)
         state = _state.DesiredState(
-            self._adapters.decoder, self._registry, pool
+            self._adapters.decoder, self._registry, pool, self._rollouts
         )
         self._delegation = forward.Delegation(
             settings.node_id,
@@ -202,6 +217,7 @@
         self._state_dump = observe.StateDump()
         self._state_dump.register("endpoints", pool.dump)
         self._state_dump.register("mirror", self._dump_mirror)
+        self._state_dump.register("rollouts", self._rollouts.dump)
         application = _application.CallerApplication(
             state, forwarder, self._adapters.codec, self._lifecycle
         )
@@ -211,6 +227,7 @@
             self._presence.run,
             forwarder.run,
             state.expire_loop,
+            self._rollouts.run,
             self._run_network,
             self._reload_loop,
         ):
@@ -313,6 +330,10 @@
     def _set_members(self, zones: Mapping[str, str]) -> None:
         members = frozenset(zones)
         self._delegation.set_zones(zones)
+        # All nodes keep streams to these.
+        self._rollouts.set_candidates(
+            [n for nodes in forward.group_nodes(zones).values() for n in nodes]
+        )
         self._gossip.set_neighbours(
             _presence.neighbours(self._settings.node_id, zones)
         )
--- a/src/geraniumstair/edge/_state.py
+++ b/src/geraniumstair/edge/_state.py
@@ -11,6 +11,7 @@
 from geraniumstair import mirror
 from geraniumstair import observe
 from geraniumstair import routing
+from geraniumstair.edge import _rollouts
 
 _LOG = logging.getLogger(__name__)
 # How often endpoints whose entries are away are looked at.
@@ -46,7 +47,30 @@
     out: bool
 
 
-StateChange = RoutesChanged | EndpointChanged | EndpointGone | ZoneChanged
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutOrderGone:
+    """The order of a service's rollout was removed."""
+
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutRecordGone:
+    """The store holds no progress of a service's rollout."""
+
+    service: str
+
+
+StateChange = (
+    RoutesChanged
+    | EndpointChanged
+    | EndpointGone
+    | ZoneChanged
+    | _rollouts.RolloutOrder
+    | _rollouts.RolloutRecord
+    | RolloutOrderGone
+    | RolloutRecordGone
+)
 
 
 class StateDecoder(Protocol):
@@ -70,9 +94,31 @@
         """Follows the registry of endpoints."""
 
 
+class RolloutUser(Protocol):
+    """Follows rollouts."""
+
+    def adopt_order(self, order: _rollouts.RolloutOrder) -> None:
+        """Takes an order."""
+
+    def withdraw_order(self, service: str) -> None:
+        """Forgets a rollout whose order was removed."""
+
+    def adopt_record(self, record: _rollouts.RolloutRecord) -> None:
+        """Takes what the store holds."""
+
+    def forget_record(self, service: str) -> None:
+        """Notes that the store holds nothing about a service."""
+
+
 class DesiredState:
     """The newest version of everything, fed by the mirror.
 
+    Args:
+        decoder: Reads what others wrote to the store.
+        registry: The known endpoints.
+        user: Follows routes, endpoints and availability zones.
+        rollouts: Follows rollouts.
+
     Attributes:
         table: The routes; None before the first version is known.
     """
@@ -82,11 +128,13 @@
         decoder: StateDecoder,
         registry: discovery.EndpointRegistry,
         user: StateUser,
+        rollouts: RolloutUser,
     ) -> None:
         self.table: routing.RouteTable | None = None
         self._decoder = decoder
         self._registry = registry
         self._user = user
+        self._rollouts = rollouts
         self._zones_out: frozenset[str] = frozenset()
         self._lapsed = trio.Event()
 
@@ -130,6 +178,19 @@
                 zones = self._zones_out
                 self._zones_out = zones | single if out else zones - single
                 self._user.set_zones_out(self._zones_out)
+            case _:
+                self._adopt_rollout(change)
+
+    def _adopt_rollout(self, change: StateChange) -> None:
+        match change:
+            case _rollouts.RolloutOrder():
+                self._rollouts.adopt_order(change)
+            case _rollouts.RolloutRecord():
+                self._rollouts.adopt_record(change)
+            case RolloutOrderGone(service):
+                self._rollouts.withdraw_order(service)
+            case RolloutRecordGone(service):
+                self._rollouts.forget_record(service)
 
     def _put(self, entry: discovery.EndpointEntry) -> None:
         known = self._registry.get(entry.endpoint_id)
--- a/src/geraniumstair/forward/_call.py
+++ b/src/geraniumstair/forward/_call.py
@@ -129,6 +129,7 @@
         idempotent: It may run more than once.
         finished: Called once with the reply, unless abandoned before.
         shard: Service that is asked.
+        route: Name of the caller's route.
         endpoint_id: Endpoint that it was given to; empty before.
         created_s: When it was given to an endpoint.
         sent: Some byte of it was sent, or may have been.
@@ -144,6 +145,7 @@
     idempotent: bool
     finished: Callable[["Call", Reply], None]
     shard: str
+    route: str = ""
     endpoint_id: str = ""
     created_s: float = 0.0
     sent: bool = False
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -13,6 +13,7 @@
 
 from geraniumstair import discovery
 from geraniumstair import routing
+from geraniumstair import verdict
 from geraniumstair.forward import _link
 from geraniumstair.forward import _metrics
 from geraniumstair.forward import _replica
@@ -83,6 +84,7 @@
         factory: Opens connections.
         spawner: Runs the tasks of the connections.
         metrics: Where calls are counted.
+        versions: Shares of versions during rollouts.
         rng: Breaks ties.
     """
 
@@ -93,6 +95,7 @@
         factory: _link.LinkFactory,
         spawner: _replica.Spawner,
         metrics: _metrics.ForwardMetrics,
+        versions: verdict.VersionBook,
         rng: random.Random,
     ) -> None:
         self._settings = settings
@@ -100,6 +103,7 @@
         self._factory = factory
         self._spawner = spawner
         self._metrics = metrics
+        self._versions = versions
         self._rng = rng
         self._replicas: dict[tuple[str, int, str, int], _replica.Replica] = {}
         self._by_service: dict[str, list[_replica.Replica]] = {}
@@ -183,6 +187,7 @@
             self._factory,
             self._spawner,
             self._metrics,
+            self._versions,
             self._want_sweep,
         )
         self._note_cold(replica, entry)
@@ -286,18 +291,27 @@
         limit = self._cold_limit(best, now_s)
         if limit is not None:
             limit.spend()
+        gate = self._versions.gate(service)
+        if gate is not None:
+            gate.count(best.entry.version)
         return best
 
     def _cost(
         self, replica: _replica.Replica, now_s: float
     ) -> tuple[int, float] | None:
-        """Returns the rank and the expected time; None if it can't be used."""
+        """Returns the rank and the expected time; None if it can't be used.
+
+        Sound endpoints have rank 0 or less.
+        """
         entry = replica.entry
         state = entry.state
         if not _takes_calls(replica):
             return None
         if entry.availability_zone in self._zones_out:
             return None
+        gate = self._versions.gate(entry.service)
+        if gate is not None and not gate.allows(entry.version):
+            return None
         limit = self._cold_limit(replica, now_s)
         if limit is not None and not limit.allows():
             return None
@@ -306,6 +320,9 @@
             rank = 2
         elif replica.is_stalled(now_s):
             rank = 1
+        elif gate is not None and gate.is_new(entry.version):
+            # Its share is due, and evidence needs requests.
+            rank = -1
         waits = 1 + replica.load / max(1, entry.slots)
         cost_ms = replica.expected_ms(now_s) * waits
         cost_ms += FAILURE_COST_MS * replica.failure_share
@@ -354,7 +371,7 @@
         return frozenset(
             r.entry.availability_zone
             for r in self._by_service.get(service, ())
-            if (cost := self._cost(r, now_s)) is not None and cost[0] == 0
+            if (cost := self._cost(r, now_s)) is not None and cost[0] <= 0
         )
 
     def usable(self, service: str) -> bool:
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -11,6 +11,7 @@
 import trio
 
 from geraniumstair import discovery
+from geraniumstair import verdict
 from geraniumstair.forward import _call
 from geraniumstair.forward import _link
 from geraniumstair.forward import _metrics
@@ -57,6 +58,7 @@
         factory: Opens connections.
         spawner: Runs the tasks of the connections.
         metrics: Where calls are counted.
+        versions: Where answers are counted by version during a rollout.
         want_sweep: Called when `sweep` has something to do later.
 
     Attributes:
@@ -76,6 +78,7 @@
         factory: _link.LinkFactory,
         spawner: Spawner,
         metrics: _metrics.ForwardMetrics,
+        versions: verdict.VersionBook,
         want_sweep: "Callable[[Replica], None]",
     ) -> None:
         self.entry = entry
@@ -86,6 +89,7 @@
         self._factory = factory
         self._spawner = spawner
         self._metrics = metrics
+        self._versions = versions
         self._want_sweep = want_sweep
         self._links: set[_link.Link] = set()
         self._free: list[_link.Link] = []
@@ -312,9 +316,10 @@
     # ---- health ----
 
     def _note(self, call: _call.Call, reply: _call.Reply) -> None:
+        now_s = trio.current_time()
+        self._count_version(call, reply, now_s)
         if call.ended:
             return
-        now_s = trio.current_time()
         outcome = reply.outcome
         if outcome in (_call.Outcome.ANSWERED, _call.Outcome.FAILED):
             self._last_reply_s = now_s
@@ -331,6 +336,23 @@
         elif outcome is not _call.Outcome.REJECTED and not call.done:
             self._fail(now_s)
 
+    def _count_version(
+        self, call: _call.Call, reply: _call.Reply, now_s: float
+    ) -> None:
+        # A cold endpoint is slow whatever its version.
+        if reply.outcome.not_run or now_s < self.cold_until_s:
+            return
+        answer = None
+        if reply.outcome is _call.Outcome.ANSWERED or call.ended:
+            answer = verdict.Answer(
+                self.entry.endpoint_id,
+                (now_s - call.sent_s) * 1000,
+                abandoned=call.ended,
+            )
+        self._versions.add(
+            self.entry.service, self.entry.version, call.route, answer
+        )
+
     def _fail(self, now_s: float) -> None:
         if self.is_avoided(now_s):
             return
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -230,6 +230,7 @@
             idempotent=True,
             finished=self._finished,
             shard=shard.service,
+            route=self._route.name,
         )
         shard.tried.add(replica.entry.endpoint_id)
         shard.ran.add(replica.entry.endpoint_id)
--- a/src/geraniumstair/forward/_single.py
+++ b/src/geraniumstair/forward/_single.py
@@ -108,6 +108,7 @@
             idempotent=self._route.idempotent,
             finished=self._finished,
             shard=self._service,
+            route=self._route.name,
         )
         self._tried.add(replica.entry.endpoint_id)
         self._runs += 1
--- a/src/geraniumstair/node/_operations.py
+++ b/src/geraniumstair/node/_operations.py
@@ -14,6 +14,7 @@
 from geraniumstair import observe
 from geraniumstair import rollout
 from geraniumstair import store as store_package
+from geraniumstair import verdict
 from geraniumstair._generated import codes
 from geraniumstair._generated import messages
 from geraniumstair.node import _rollouts
@@ -72,16 +73,16 @@
                 codes.Code.INVALID_ROLLOUT,
                 f"Rollout {name} has ended as {known.state}.",
             )
-        decision = rollout.Decision(
-            rollout.Progress.TAKEN_BACK,
+        decision = verdict.Decision(
+            verdict.Progress.TAKEN_BACK,
             known.step if known else 0,
-            rollout.REASON_OPERATOR,
+            verdict.REASON_OPERATOR,
         )
         state = rollout.state_of(rule, decision, time.time())
         saved = await self._rollouts.ledger.save(state, 0, final=True)
         if isinstance(saved, result.Err):
             # The stop holds from now on; its record follows.
-            self._rollouts.keeper.stop(rule, rollout.REASON_OPERATOR)
+            self._rollouts.keeper.stop(rule, verdict.REASON_OPERATOR)
             return _refuse(
                 codes.Code.STORE_UNAVAILABLE,
                 f"Rollout {name} is stopped, but not recorded yet.",
@@ -90,7 +91,7 @@
             return _refuse(
                 codes.Code.INVALID_ROLLOUT, f"Rollout {name} has ended."
             )
-        self._rollouts.keeper.stop(rule, rollout.REASON_OPERATOR, recorded=True)
+        self._rollouts.keeper.stop(rule, verdict.REASON_OPERATOR, recorded=True)
         return result.Ok(None)
 
     def metrics(self) -> bytes:
--- a/src/geraniumstair/node/_status.py
+++ b/src/geraniumstair/node/_status.py
@@ -5,7 +5,7 @@
 
 from geraniumstair import configuration
 from geraniumstair import membership
-from geraniumstair import rollout
+from geraniumstair import verdict
 from geraniumstair.node import _rollouts
 
 
@@ -97,7 +97,7 @@
     if topology is None:
         return []
     waiting, reason = _waiting_for(holder, members, dump)
-    progress = rollout.Progress.GOING_ON if reason else rollout.Progress.DONE
+    progress = verdict.Progress.GOING_ON if reason else verdict.Progress.DONE
     return [
         {
             "name": name,
--- a/src/geraniumstair/platform/__main__.py
+++ b/src/geraniumstair/platform/__main__.py
@@ -31,6 +31,7 @@
     adapters = edge.EdgeAdapters(
         store=_store.PlatformStore(settings.store.address, metrics),
         decoder=_decoder.PlatformDecoder(),
+        encoder=_decoder.PlatformEncoder(),
         dialect=_http.PlatformDialect(),
         codec=_http.PlatformCodec(),
     )
--- a/src/geraniumstair/platform/_decoder.py
+++ b/src/geraniumstair/platform/_decoder.py
@@ -8,18 +8,32 @@
 from geraniumstair import edge
 from geraniumstair import mirror
 from geraniumstair import routing
+from geraniumstair import store
+from geraniumstair import verdict
 from geraniumstair.platform import _settings
 
 _LOG = logging.getLogger(__name__)
 _CONFIG_KEY = "op/config"
 _EVACUATION_PREFIX = "op/evacuate/"
 _SERVER_PREFIX = "servers/"
+_ROLLOUT_PREFIX = "op/rollout/"
+_ROLLOUT_STATUS_PREFIX = "status/rollout/"
 _STATES = {
     "ready": discovery.EndpointState.READY,
     "draining": discovery.EndpointState.DRAINING,
 }
 
 
+_ROLLOUT_STATES = {
+    "running": verdict.Progress.GOING_ON,
+    "completed": verdict.Progress.DONE,
+    "rolled_back": verdict.Progress.TAKEN_BACK,
+}
+_ROLLOUT_STATE_NAMES = {
+    progress: name for name, progress in _ROLLOUT_STATES.items()
+}
+
+
 class _SplitPart(msgspec.Struct):
     service: str = msgspec.field(name="Service")
     weight: float = msgspec.field(name="Weight")
@@ -79,6 +93,16 @@
     started_ms: int = msgspec.field(name="born", default=0)
 
 
+class _Rollout(msgspec.Struct):
+    version: str = msgspec.field(name="TargetVersion")
+    duration_s: float = msgspec.field(name="DurationS")
+
+
+class _RolloutStatus(msgspec.Struct):
+    state: str = msgspec.field(name="State")
+    version: str = msgspec.field(name="TargetVersion")
+
+
 class PlatformDecoder:
     """Turns the platform's keys into changes of the product's state."""
 
@@ -91,6 +115,10 @@
         if item.key.startswith(_EVACUATION_PREFIX):
             zone = item.key.removeprefix(_EVACUATION_PREFIX)
             return edge.ZoneChanged(zone, item.value is not None)
+        if item.key.startswith(_ROLLOUT_PREFIX):
+            return _decode_rollout(item)
+        if item.key.startswith(_ROLLOUT_STATUS_PREFIX):
+            return _decode_rollout_status(item)
         return None
 
     def _decode_config(
@@ -126,6 +154,52 @@
         return edge.EndpointChanged(entry)
 
 
+class PlatformEncoder:
+    """Writes the product's state as the operator reads it."""
+
+    def encode_rollout(
+        self, service: str, version: str, progress: verdict.Progress
+    ) -> store.Put:
+        """Returns the write that records the progress of a rollout."""
+        status = _RolloutStatus(_ROLLOUT_STATE_NAMES[progress], version)
+        return store.Put(
+            _ROLLOUT_STATUS_PREFIX + service, msgspec.json.encode(status)
+        )
+
+
+def _decode_rollout(
+    item: mirror.MirrorItem,
+) -> edge.RolloutOrder | edge.RolloutOrderGone | None:
+    service = item.key.removeprefix(_ROLLOUT_PREFIX)
+    if item.value is None:
+        return edge.RolloutOrderGone(service)
+    try:
+        order = msgspec.json.decode(item.value, type=_Rollout)
+    except msgspec.MsgspecError as error:
+        _LOG.error("platform: the rollout of %s is invalid: %s", service, error)
+        return None
+    return edge.RolloutOrder(
+        service, order.version, order.duration_s, item.revision
+    )
+
+
+def _decode_rollout_status(
+    item: mirror.MirrorItem,
+) -> edge.RolloutRecord | edge.RolloutRecordGone | None:
+    service = item.key.removeprefix(_ROLLOUT_STATUS_PREFIX)
+    if item.value is None:
+        return edge.RolloutRecordGone(service)
+    try:
+        status = msgspec.json.decode(item.value, type=_RolloutStatus)
+        progress = _ROLLOUT_STATES[status.state]
+    except (msgspec.MsgspecError, KeyError) as error:
+        _LOG.error(
+            "platform: the rollout status of %s is invalid: %s", service, error
+        )
+        return None
+    return edge.RolloutRecord(service, status.version, progress, item.revision)
+
+
 def _endpoint_entry(
     endpoint_id: str, server: _Server
 ) -> discovery.EndpointEntry:
--- a/src/geraniumstair/platform/_settings.py
+++ b/src/geraniumstair/platform/_settings.py
@@ -36,6 +36,7 @@
     )
     budget_window_s: float = msgspec.field(name="BudgetWindowS", default=10.0)
     budget_slack: float = msgspec.field(name="BudgetSlack", default=20.0)
+    exposure_share: float = msgspec.field(name="ExposureShare", default=0.1)
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -121,6 +122,7 @@
             ),
             remote_cost_ms=REMOTE_COST_MS,
             processor_cores=settings.limits.core_share * settings.limits.cores,
+            exposure_share=bounds.exposure_share,
         )
     except ValueError as error:
         raise errors.SettingsError(str(error)) from error
--- a/src/geraniumstair/rollout/_board.py
+++ b/src/geraniumstair/rollout/_board.py
@@ -7,9 +7,8 @@
 import msgspec
 
 from geraniumstair import configuration
+from geraniumstair import verdict
 from geraniumstair._generated import messages
-from geraniumstair.rollout import _judge
-from geraniumstair.rollout import _share
 
 _ORDER = {"PENDING": 0, "GOING_ON": 1, "DONE": 2, "TAKEN_BACK": 3}
 
@@ -30,7 +29,7 @@
 
     start_s: float
     state: str
-    share: _share.VersionShare
+    share: verdict.VersionShare
 
     @property
     def order(self) -> tuple[bool, float]:
@@ -116,7 +115,7 @@
 
     def shares(
         self, topology: configuration.Topology
-    ) -> Sequence[_share.VersionShare]:
+    ) -> Sequence[verdict.VersionShare]:
         """Returns the share that is in force for each service.
 
         A rollout without a known state has not started: its share is 0. A
@@ -137,8 +136,8 @@
     def _claim(self, rule: configuration.RolloutRule) -> _Claim:
         state = self._states.get(rule.key)
         decision = decision_of(state) if state else None
-        share_pct = _judge.share_pct(rule, decision) if decision else 0.0
-        share = _share.VersionShare(
+        share_pct = verdict.share_pct(rule, decision) if decision else 0.0
+        share = verdict.VersionShare(
             rollout=rule.key,
             service=rule.service,
             old_version=rule.old_version,
@@ -149,7 +148,7 @@
 
 
 def _removed_claim(state: messages.RolloutState) -> _Claim:
-    share = _share.VersionShare(
+    share = verdict.VersionShare(
         rollout=state.rollout,
         service=state.service,
         old_version=state.old_version,
@@ -159,7 +158,7 @@
     return _Claim(state.start_ms / 1000, state.state, share)
 
 
-def _in_force(claims: Iterable[_Claim]) -> _share.VersionShare:
+def _in_force(claims: Iterable[_Claim]) -> verdict.VersionShare:
     *others, current = sorted(claims, key=lambda claim: claim.order)
     blocked = {claim.blocked_version() for claim in others}
     own = {current.share.old_version, current.share.new_version}
@@ -175,14 +174,14 @@
     }
 
 
-def decision_of(state: messages.RolloutState) -> _judge.Decision:
+def decision_of(state: messages.RolloutState) -> verdict.Decision:
     """Converts a state as sent into a decision."""
-    progress = _judge.Progress(state.state)
-    return _judge.Decision(progress, state.step, state.reason)
+    progress = verdict.Progress(state.state)
+    return verdict.Decision(progress, state.step, state.reason)
 
 
 def state_of(
-    rule: configuration.RolloutRule, decision: _judge.Decision, now_s: float
+    rule: configuration.RolloutRule, decision: verdict.Decision, now_s: float
 ) -> messages.RolloutState:
     """Converts a decision into a state to be sent or stored.
 
@@ -195,7 +194,7 @@
         rollout=rule.key,
         state=decision.progress.value,
         step=decision.step,
-        share_pct=_judge.share_pct(rule, decision),
+        share_pct=verdict.share_pct(rule, decision),
         reason=decision.reason,
         updated_ms=int(now_s * 1000),
         recorded=False,
--- a/src/geraniumstair/rollout/_keeper.py
+++ b/src/geraniumstair/rollout/_keeper.py
@@ -10,9 +10,9 @@
 import trio
 
 from geraniumstair import configuration
+from geraniumstair import verdict
 from geraniumstair._generated import messages
 from geraniumstair.rollout import _board
-from geraniumstair.rollout import _judge
 from geraniumstair.rollout import _ledger
 
 _LOG = logging.getLogger(__name__)
@@ -54,9 +54,9 @@
     """
 
     rule: configuration.RolloutRule
-    judge: _judge.RolloutJudge
+    judge: verdict.RolloutJudge
     mod_revision: int = 0
-    recorded: _judge.Decision | None = None
+    recorded: verdict.Decision | None = None
     synced: bool = False
     busy: bool = False
 
@@ -119,7 +119,7 @@
         if former is not None:
             for rule in former.rollouts.values():
                 if rule.key not in rules:
-                    self.stop(rule, _judge.REASON_REMOVED)
+                    self.stop(rule, verdict.REASON_REMOVED)
         self._board.forget_obsolete(topology)
 
     async def run(self) -> None:
@@ -148,7 +148,7 @@
                 continue
             judged = self._judged.get(rule.key)
             if judged is None:
-                judged = _Judged(rule, _judge.RolloutJudge(rule))
+                judged = _Judged(rule, verdict.RolloutJudge(rule))
                 self._judged[rule.key] = judged
             if judged.synced or judged.busy:
                 self._decide(judged)
@@ -205,8 +205,8 @@
         known = self._board.state(rule.key)
         if known is not None and known.state in ("DONE", "TAKEN_BACK"):
             return
-        decision = _judge.Decision(
-            _judge.Progress.TAKEN_BACK, known.step if known else 0, reason
+        decision = verdict.Decision(
+            verdict.Progress.TAKEN_BACK, known.step if known else 0, reason
         )
         state = _board.state_of(rule, decision, self._wall_clock())
         state.recorded = recorded
@@ -249,7 +249,7 @@
             decision = judged.judge.stop_if_faulty(now_s)
         else:
             decision = judged.judge.decide(now_s, judged.synced)
-        if decision.progress is _judge.Progress.TAKEN_BACK:
+        if decision.progress is verdict.Progress.TAKEN_BACK:
             # A stop is safe before it is recorded; a step is not.
             self._publish(_board.state_of(judged.rule, decision, now_s))
 
@@ -285,7 +285,7 @@
         judged.mod_revision = stored.ok_value.mod_revision
         state = stored.ok_value.state
         if state is None:
-            judged.recorded = _judge.Decision(_judge.Progress.PENDING, 0, "")
+            judged.recorded = verdict.Decision(verdict.Progress.PENDING, 0, "")
             # Nodes that know a state do not ask the store for it.
             now_s = self._wall_clock()
             self._publish(_board.state_of(judged.rule, judged.recorded, now_s))
--- a/src/geraniumstair/verdict/_judge.py
+++ b/src/geraniumstair/verdict/_judge.py
@@ -1,12 +1,13 @@
 """Decides the steps and the end of one rollout."""
 
+from collections.abc import Sequence
 import dataclasses
 import enum
+from typing import Protocol
 
-from geraniumstair import configuration
 from geraniumstair._generated import messages
-from geraniumstair.rollout import _evidence
-from geraniumstair.rollout import _verdict
+from geraniumstair.verdict import _evidence
+from geraniumstair.verdict import _verdict
 
 # The last step ends before the done-by time, so that a good version is done
 # on time although evidence arrives with a delay.
@@ -22,6 +23,40 @@
 REASON_REMOVED = "REMOVED"
 
 
+class RolloutPlan(Protocol):
+    """What an operator ordered; a rule of the document is one."""
+
+    @property
+    def key(self) -> str:
+        """Identifies the rollout in evidence."""
+        ...
+
+    @property
+    def old_version(self) -> str:
+        """Version that traffic moves away from."""
+        ...
+
+    @property
+    def new_version(self) -> str:
+        """Version that traffic moves to."""
+        ...
+
+    @property
+    def start_s(self) -> float:
+        """Start time in s, on the clock that `decide` is told."""
+        ...
+
+    @property
+    def done_by_s(self) -> float:
+        """Time in s by which all traffic has moved, on the same clock."""
+        ...
+
+    @property
+    def steps_pct(self) -> Sequence[float]:
+        """Shares of the new version, rising."""
+        ...
+
+
 class Progress(enum.Enum):
     """Progress of a rollout or an availability zone change."""
 
@@ -51,7 +86,7 @@
         return self.progress in (Progress.DONE, Progress.TAKEN_BACK)
 
 
-def share_pct(rule: configuration.RolloutRule, decision: Decision) -> float:
+def share_pct(rule: RolloutPlan, decision: Decision) -> float:
     """Returns the greatest share of the new version, in per cent."""
     if decision.progress is Progress.DONE:
         return 100.0
@@ -70,7 +105,7 @@
     """
 
     def __init__(
-        self, rule: configuration.RolloutRule, decision: Decision | None = None
+        self, rule: RolloutPlan, decision: Decision | None = None
     ) -> None:
         self._rule = rule
         self._decision = decision or Decision(Progress.PENDING, 0, "")
@@ -93,7 +128,7 @@
             )
         )
 
-    def adopt_rule(self, rule: configuration.RolloutRule) -> None:
+    def adopt_rule(self, rule: RolloutPlan) -> None:
         """Adopts other steps or another done-by time of the same rollout."""
         self._rule = rule
 
--- a/src/geraniumstair/verdict/_verdict.py
+++ b/src/geraniumstair/verdict/_verdict.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 import math
 
-from geraniumstair.rollout import _evidence
+from geraniumstair.verdict import _evidence
 
 ERROR_PROBABILITY = 1e-5
 # Evidence that is this unlikely for a good version holds the step.
--- a/src/geraniumstair/verdict/_versions.py
+++ b/src/geraniumstair/verdict/_versions.py
@@ -6,8 +6,10 @@
 import math
 
 from geraniumstair import calls
-from geraniumstair import rollout
 from geraniumstair._generated import messages
+from geraniumstair.verdict import _evidence
+from geraniumstair.verdict import _share
+from geraniumstair.verdict import _verdict
 
 # Counts are halved at this number of requests, so that a changed mix of
 # traffic shows in the share soon.
@@ -31,13 +33,13 @@
         stopped: Own evidence has stopped the new version.
     """
 
-    def __init__(self, share: rollout.VersionShare) -> None:
+    def __init__(self, share: _share.VersionShare) -> None:
         self.share = share
         self.stopped = False
         self._new = 0
         self._all = 0
 
-    def adopt(self, share: rollout.VersionShare) -> None:
+    def adopt(self, share: _share.VersionShare) -> None:
         """Adopts a new share; a changed one is counted from the start."""
         if share.share_pct != self.share.share_pct:
             self._new = 0
@@ -127,13 +129,21 @@
 
     The owner stops a version by the same rule as the judge, from its own
     counts alone.
+
+    Args:
+        gate: The rollout's gate.
+        cold_answers: First answers of each endpoint that do not count; 0 if
+            the caller leaves out those of cold endpoints.
     """
 
-    def __init__(self, gate: VersionGate) -> None:
+    def __init__(
+        self, gate: VersionGate, cold_answers: int = COLD_ANSWERS
+    ) -> None:
         self._gate = gate
+        self._cold_answers = cold_answers
         share = gate.share
         self._unsent: dict[tuple[str, str, int], _Counts] = {}
-        self._table = rollout.EvidenceTable(
+        self._table = _evidence.EvidenceTable(
             share.old_version, share.new_version
         )
         self._old_latency: dict[str, calls.LatencyWindow] = {}
@@ -178,6 +188,8 @@
         The ramp does not decide this: it calls an endpoint warm that is
         slower than usual by less than `COLD_SLOWDOWN`.
         """
+        if not self._cold_answers:
+            return False
         start = self._starts.setdefault(answer.endpoint, _Start())
         if start.over:
             return False
@@ -186,7 +198,9 @@
             start.fast_run = 0
         elif not answer.abandoned:
             start.fast_run += 1
-        start.over = start.fast_run >= WARM_RUN or start.answers >= COLD_ANSWERS
+        start.over = (
+            start.fast_run >= WARM_RUN or start.answers >= self._cold_answers
+        )
         return True
 
     def _add(
@@ -211,7 +225,7 @@
     def clear_fault(self, now_s: int) -> str:
         """Returns why the new version must stop, or an empty string."""
         since_s = now_s - EVIDENCE_WINDOWS
-        return rollout.find_fault(self._table.comparisons(since_s))
+        return _verdict.find_fault(self._table.comparisons(since_s))
 
     def take(self) -> list[messages.VersionEvidence]:
         """Returns and forgets what was counted since the last call."""
@@ -243,17 +257,27 @@
 
 
 class VersionBook:
-    """Gates and evidence of all rollouts of this owner."""
+    """Gates and evidence of all rollouts of this owner.
+
+    Args:
+        clock: Returns the time in s; windows of evidence are told by it.
+        on_stop: Called when the own evidence stops a version.
+        cold_answers: See `RolloutEvidence`.
+    """
 
     def __init__(
-        self, wall_clock: Callable[[], float], on_stop: StopListener
+        self,
+        clock: Callable[[], float],
+        on_stop: StopListener,
+        cold_answers: int = COLD_ANSWERS,
     ) -> None:
-        self._wall_clock = wall_clock
+        self._clock = clock
         self._on_stop = on_stop
+        self._cold_answers = cold_answers
         self._gates: dict[str, VersionGate] = {}
         self._evidence: dict[str, RolloutEvidence] = {}
 
-    def adopt(self, shares: Sequence[rollout.VersionShare]) -> None:
+    def adopt(self, shares: Sequence[_share.VersionShare]) -> None:
         """Adopts the shares in force; gates of other services end."""
         gates: dict[str, VersionGate] = {}
         evidence: dict[str, RolloutEvidence] = {}
@@ -261,7 +285,9 @@
             gate = self._gates.get(share.service)
             if gate is None or gate.share.rollout != share.rollout:
                 gate = VersionGate(share)
-                evidence[share.service] = RolloutEvidence(gate)
+                evidence[share.service] = RolloutEvidence(
+                    gate, self._cold_answers
+                )
             else:
                 gate.adopt(share)
                 evidence[share.service] = self._evidence[share.service]
@@ -287,7 +313,7 @@
         gate = self._gates.get(service)
         if gate is None:
             return
-        now_s = int(self._wall_clock())
+        now_s = int(self._clock())
         evidence = self._evidence[service]
         if answer is None:
             suspicious = evidence.add_failure(version, route, now_s)
@@ -295,7 +321,8 @@
             suspicious = evidence.add_answer(version, route, now_s, answer)
         if not suspicious or gate.stopped or not gate.is_new(version):
             return
-        if gate.share.share_pct <= 0:
+        # A version that has all traffic has none to go back to.
+        if not 0 < gate.share.share_pct < 100:
             return
         reason = evidence.clear_fault(now_s)
         if reason:
--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -18,6 +18,8 @@
 from geraniumstair import peers
 from geraniumstair import routing
 from geraniumstair import store
+from geraniumstair import verdict
+from geraniumstair._generated import messages
 
 ANSWERED = forward.Outcome.ANSWERED
 
@@ -261,12 +263,17 @@
         self.site = FakeSite()
         self.registry = discovery.EndpointRegistry(trio.current_time)
         self.metrics = forward.ForwardMetrics()
+        self.stopped: list[messages.StoppedVersion] = []
+        self.versions = verdict.VersionBook(
+            trio.current_time, self.stopped.append, cold_answers=0
+        )
         self.pool = forward.EndpointPool(
             forward.PoolSettings("n1", "a", 10.0),
             self.registry,
             self.site,
             nursery,
             self.metrics,
+            self.versions,
             random.Random(1),
         )
         self.pool.adopt_table(table(routes, **(limits or {})))
--- /dev/null
+++ b/tests/builders_edge_rollouts.py
@@ -0,0 +1,139 @@
+"""A site whose nodes roll a version out, without endpoints or network."""
+
+import random
+
+import result
+import trio
+
+from geraniumstair import edge
+from geraniumstair import store
+from geraniumstair import verdict
+from tests import builders_edge
+
+SERVICE = "s1"
+EXPOSURE_SHARE = 0.1
+# Requests of one node in a second.
+REQUESTS_PER_S = 8
+
+
+class RecordStore:
+    """Records of progress with compare-and-swap, told to all nodes."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.revision = 100
+        self.records: dict[str, edge.RolloutRecord] = {}
+        self.history: list[verdict.Progress] = []
+        self.nodes: list[edge.Rollouts] = []
+        self._pending: dict[str, edge.RolloutRecord] = {}
+
+    def encode_rollout(
+        self, service: str, version: str, progress: verdict.Progress
+    ) -> store.Put:
+        """Returns a write; what it means is kept here."""
+        value = f"{service}/{version}/{progress.value}".encode()
+        return store.Put(service, value)
+
+    async def commit(
+        self, transaction: store.Transaction
+    ) -> result.Result[store.CommitOutcome, store.StoreFailure]:
+        """Writes if the compare holds."""
+        await trio.sleep(0.01)
+        if self.down:
+            return result.Err(store.StoreFailure(store.Effect.NONE, "down"))
+        compare, put = transaction.compares[0], transaction.puts[0]
+        known = self.records.get(put.key)
+        if compare.expected != (known.revision if known else 0):
+            return result.Ok(store.CommitOutcome(False, self.revision))
+        self.revision += 1
+        service, version, progress = put.value.decode().split("/")
+        record = edge.RolloutRecord(
+            service, version, verdict.Progress(progress), self.revision
+        )
+        self.records[put.key] = record
+        self.history.append(record.progress)
+        trio.lowlevel.spawn_system_task(self._tell, record)
+        return result.Ok(store.CommitOutcome(True, self.revision))
+
+    async def _tell(self, record: edge.RolloutRecord) -> None:
+        await trio.sleep(0.1)
+        for node in self.nodes:
+            node.adopt_record(record)
+
+
+class RolloutSite:
+    """Nodes that send requests to an old and a new version.
+
+    Args:
+        nursery: Runs the nodes.
+        count: How many nodes there are.
+
+    Attributes:
+        failing: Share of the new version's answers that are failures.
+        slow: The new version takes ten times as long.
+        sent: Times of the requests to the new version.
+        all: Number of requests to both.
+    """
+
+    def __init__(self, nursery: trio.Nursery, count: int = 7) -> None:
+        self.store = RecordStore()
+        self.networks: dict[str, builders_edge.FakeNetwork] = {}
+        self.nodes: dict[str, edge.Rollouts] = {}
+        self.failing = 0.0
+        self.slow = False
+        self.sent: list[float] = []
+        self.all = 0
+        self._rng = random.Random(1)
+        names = [f"n{i}" for i in range(count)]
+        for name in names:
+            network = builders_edge.FakeNetwork(name, self.networks)
+            node = edge.Rollouts(
+                name,
+                EXPOSURE_SHARE,
+                self.store,
+                self.store,
+                network,
+                trio.current_time,
+            )
+            node.set_candidates(names)
+            self.nodes[name] = node
+            self.store.nodes.append(node)
+            nursery.start_soon(node.run)
+            nursery.start_soon(self._send_requests, node)
+
+    def order(self, version: str = "v2", duration_s: float = 12.0) -> None:
+        """Orders a rollout as an operator does."""
+        self.store.revision += 1
+        for node in self.nodes.values():
+            node.adopt_order(
+                edge.RolloutOrder(
+                    SERVICE, version, duration_s, self.store.revision
+                )
+            )
+
+    def judges(self) -> list[str]:
+        """Returns the nodes that judge."""
+        node = next(iter(self.nodes.values()))
+        return list(node.dump()[SERVICE]["judges"])
+
+    async def _send_requests(self, node: edge.Rollouts) -> None:
+        while True:
+            await trio.sleep(self._rng.uniform(0.5, 1.5) / REQUESTS_PER_S)
+            self.all += 1
+            gate = node.versions.gate(SERVICE)
+            new = gate is not None and gate.allows("v2")
+            if gate is not None:
+                gate.count("v2" if new else "v1")
+            if new:
+                self.sent.append(trio.current_time())
+            self._answer(node, new)
+
+    def _answer(self, node: edge.Rollouts, new: bool) -> None:
+        latency_ms = self._rng.uniform(20, 40)
+        if new and self.slow:
+            latency_ms *= 10
+        answer = verdict.Answer("e", latency_ms, abandoned=False)
+        fails = new and self._rng.random() < self.failing
+        node.versions.add(
+            SERVICE, "v2" if new else "v1", "r", None if fails else answer
+        )
--- a/tests/test_dispatch_parts.py
+++ b/tests/test_dispatch_parts.py
@@ -5,12 +5,11 @@
 import unittest
 
 from geraniumstair import calls
-from geraniumstair import rollout
+from geraniumstair import verdict
 from geraniumstair.dispatch import _budget
 from geraniumstair.dispatch import _queue
 from geraniumstair.dispatch import _ramp
 from geraniumstair.dispatch import _shedding
-from geraniumstair.dispatch import _versions
 
 
 @dataclasses.dataclass(eq=False)
@@ -201,10 +200,10 @@
     """Guards against a share above its step after a change of step."""
 
     def test_raised_share_does_not_catch_up_for_the_past(self) -> None:
-        def share(pct: float) -> rollout.VersionShare:
-            return rollout.VersionShare("r", "s", "v1", "v2", pct)
+        def share(pct: float) -> verdict.VersionShare:
+            return verdict.VersionShare("r", "s", "v1", "v2", pct)
 
-        gate = _versions.VersionGate(share(5))
+        gate = verdict.VersionGate(share(5))
         for pct in (5, 25, 5):
             gate.adopt(share(pct))
             new = 0
@@ -216,8 +215,8 @@
             self.assertGreater(new, pct / 100 * 5000 * 0.9)
 
     def test_unused_share_is_not_caught_up_with_a_burst(self) -> None:
-        share = rollout.VersionShare("r", "s", "v1", "v2", 5)
-        gate = _versions.VersionGate(share)
+        share = verdict.VersionShare("r", "s", "v1", "v2", 5)
+        gate = verdict.VersionGate(share)
         for _ in range(900):
             gate.count("v1")
         new = 0
@@ -228,30 +227,30 @@
         self.assertLessEqual(new, 5)
 
     def test_blocked_version_gets_nothing(self) -> None:
-        share = rollout.VersionShare("r", "s", "v1", "v2", 5, frozenset({"v3"}))
-        self.assertFalse(_versions.VersionGate(share).allows("v3"))
+        share = verdict.VersionShare("r", "s", "v1", "v2", 5, frozenset({"v3"}))
+        self.assertFalse(verdict.VersionGate(share).allows("v3"))
 
 
 class RolloutEvidenceTest(unittest.TestCase):
     """Guards against a cold start that is taken for a slow version."""
 
     def setUp(self) -> None:
-        share = rollout.VersionShare("r", "s", "v1", "v2", 5)
-        self.evidence = _versions.RolloutEvidence(_versions.VersionGate(share))
+        share = verdict.VersionShare("r", "s", "v1", "v2", 5)
+        self.evidence = verdict.RolloutEvidence(verdict.VersionGate(share))
         for _ in range(100):
             self._add("v1", 10)
 
     def _add(self, version: str, latency_ms: float) -> bool:
-        answer = _versions.Answer(f"e-{version}", latency_ms, abandoned=False)
+        answer = verdict.Answer(f"e-{version}", latency_ms, abandoned=False)
         return self.evidence.add_answer(version, "search", 1, answer)
 
     def test_slightly_slow_start_is_no_evidence(self) -> None:
-        for _ in range(_versions.COLD_ANSWERS):
+        for _ in range(verdict.COLD_ANSWERS):
             self.assertFalse(self._add("v2", 25))
         self.assertEqual(self.evidence.clear_fault(1), "")
 
     def test_slowness_after_the_start_is_evidence(self) -> None:
-        for _ in range(_versions.WARM_RUN):
+        for _ in range(verdict.WARM_RUN):
             self._add("v2", 10)
         for _ in range(6):
             self.assertTrue(self._add("v2", 25))
--- a/tests/test_dispatcher_changes.py
+++ b/tests/test_dispatcher_changes.py
@@ -6,9 +6,8 @@
 
 from geraniumstair import dispatch
 from geraniumstair import membership
-from geraniumstair import rollout
+from geraniumstair import verdict
 from geraniumstair._generated import codes
-from geraniumstair.dispatch import _versions
 from tests import builders_dispatch
 
 _Authority = membership.Authority
@@ -357,8 +356,8 @@
 class VersionShareTest(unittest.TestCase):
     """Guards against a bad version that gets more than its share."""
 
-    def _share(self, pct: float) -> list[rollout.VersionShare]:
-        return [rollout.VersionShare("r", "acme/s0", "v1", "v2", pct)]
+    def _share(self, pct: float) -> list[verdict.VersionShare]:
+        return [verdict.VersionShare("r", "acme/s0", "v1", "v2", pct)]
 
     def test_share_is_never_above_its_step(self) -> None:
         async def scenario(site) -> None:
@@ -474,7 +473,7 @@
             await site.submit_many(100, 0.02)
             evidence = site.dispatcher.take_evidence()
             # The first answers of the new endpoint are no evidence.
-            cold = _versions.WARM_RUN
+            cold = verdict.WARM_RUN
             self.assertEqual(sum(e.completed for e in evidence), 100 - cold)
             new = sum(e.completed for e in evidence if e.version == "v2")
             self.assertEqual(new, len(site.fake(0).calls) - cold)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -13,6 +13,7 @@
 from geraniumstair import peers
 from geraniumstair import routing
 from geraniumstair import store
+from geraniumstair import verdict
 from geraniumstair.platform import _decoder
 from geraniumstair.platform import _http
 from tests import builders_edge as builders
@@ -50,14 +51,35 @@
     return b'{"Version":%d,"Routes":[]}' % version
 
 
+class _Rollouts:
+    def __init__(self) -> None:
+        self.calls: list[tuple[str, object]] = []
+
+    def adopt_order(self, order: edge.RolloutOrder) -> None:
+        self.calls.append(("order", order))
+
+    def withdraw_order(self, service: str) -> None:
+        self.calls.append(("no order", service))
+
+    def adopt_record(self, record: edge.RolloutRecord) -> None:
+        self.calls.append(("record", record))
+
+    def forget_record(self, service: str) -> None:
+        self.calls.append(("no record", service))
+
+
 class DesiredStateTest(unittest.TestCase):
     """Guards against versions that go back and entries that do harm."""
 
     def setUp(self) -> None:
         self.user = _User()
+        self.rollouts = _Rollouts()
         self.registry = discovery.EndpointRegistry(lambda: 0.0)
         self.state = edge.DesiredState(
-            _decoder.PlatformDecoder(), self.registry, self.user
+            _decoder.PlatformDecoder(),
+            self.registry,
+            self.user,
+            self.rollouts,
         )
 
     def _adopt(self, key: str, value: bytes | None) -> None:
@@ -84,6 +106,31 @@
         self._adopt("op/evacuate/x", None)
         self.assertEqual(self.user.zones, {"y"})
 
+    def test_orders_and_records_of_rollouts_are_passed_on(self) -> None:
+        self._adopt(
+            "op/rollout/s",
+            b'{"Service":"s","TargetVersion":"v2","DurationS":9}',
+        )
+        self._adopt(
+            "status/rollout/s", b'{"State":"completed","TargetVersion":"v2"}'
+        )
+        self._adopt("op/rollout/s", b'{"TargetVersion":2}')
+        self._adopt("status/rollout/s", b'{"State":"x","TargetVersion":"v2"}')
+        self._adopt("op/rollout/s", None)
+        self._adopt("status/rollout/s", None)
+        self.assertEqual(
+            self.rollouts.calls,
+            [
+                ("order", edge.RolloutOrder("s", "v2", 9.0, 1)),
+                (
+                    "record",
+                    edge.RolloutRecord("s", "v2", verdict.Progress.DONE, 1),
+                ),
+                ("no order", "s"),
+                ("no record", "s"),
+            ],
+        )
+
 
 class NeighboursTest(unittest.TestCase):
     """Guards against sites that fall apart, or need too many streams."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,6 +16,7 @@
 from geraniumstair import mirror
 from geraniumstair import peers
 from geraniumstair import store
+from geraniumstair import verdict
 from geraniumstair.platform import _decoder
 from geraniumstair.platform import _http
 from geraniumstair.platform import _settings
@@ -121,6 +122,18 @@
             _decode("op/evacuate/z1", None), edge.ZoneChanged("z1", False)
         )
 
+    def test_recorded_progress_reads_back_as_it_was_written(self) -> None:
+        for progress in (
+            verdict.Progress.GOING_ON,
+            verdict.Progress.DONE,
+            verdict.Progress.TAKEN_BACK,
+        ):
+            put = _decoder.PlatformEncoder().encode_rollout("s", "v2", progress)
+            change = _decode(put.key, put.value)
+            assert isinstance(change, edge.RolloutRecord)
+            self.assertIs(change.progress, progress)
+            self.assertEqual(change.version, "v2")
+
     def test_other_keys_mean_nothing(self) -> None:
         self.assertIsNone(_decode("geraniumstair/nodes/n1", b"{}"))
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -3,8 +3,9 @@
 import unittest
 
 from geraniumstair import rollout
+from geraniumstair import verdict
 from geraniumstair._generated import messages
-from geraniumstair.rollout import _verdict
+from geraniumstair.verdict import _verdict
 from tests import builders_rollout
 
 
@@ -70,7 +71,7 @@
             with self.subTest(kind):
                 run, _ = _run(behaviour)
                 self.assertIs(
-                    run.decision.progress, rollout.Progress.TAKEN_BACK
+                    run.decision.progress, verdict.Progress.TAKEN_BACK
                 )
                 self.assertIn(
                     run.decision.reason.split(":")[0], ("FAILING", "SLOW")
@@ -90,14 +91,14 @@
                 run, _ = _run(
                     builders_rollout.healthy, requests_per_s=requests_per_s
                 )
-                self.assertIs(run.decision.progress, rollout.Progress.DONE)
+                self.assertIs(run.decision.progress, verdict.Progress.DONE)
                 rule = builders_rollout.build_rule()
                 self.assertLessEqual(run.ended_s, rule.done_by_s)
 
     def test_general_slowdown_is_not_blamed_on_the_new_version(self) -> None:
         slowdown = _from(15, (0.02, 0.6))
         run, _ = _run(slowdown, old=slowdown)
-        self.assertIs(run.decision.progress, rollout.Progress.DONE)
+        self.assertIs(run.decision.progress, verdict.Progress.DONE)
 
     def test_slowdown_at_the_last_step_is_not_blamed(self) -> None:
         """The old version gets few requests then, which show it late."""
@@ -107,26 +108,26 @@
                 run, _ = _run(
                     slowdown, old=slowdown, requests_per_s=requests_per_s
                 )
-                self.assertIs(run.decision.progress, rollout.Progress.DONE)
+                self.assertIs(run.decision.progress, verdict.Progress.DONE)
 
     def test_late_first_step_does_not_delay_the_end(self) -> None:
         """A small service needs most of the time for its first evidence."""
         run, _ = _run(builders_rollout.healthy, requests_per_s=40)
-        self.assertIs(run.decision.progress, rollout.Progress.DONE)
+        self.assertIs(run.decision.progress, verdict.Progress.DONE)
         rule = builders_rollout.build_rule()
         self.assertLess(run.ended_s, rule.done_by_s)
 
     def test_weak_evidence_holds_the_last_step(self) -> None:
         """A fault that shows right before the end must not end as done."""
         run, _ = _run(_from(52, (0.06, 0.06)), requests_per_s=20)
-        self.assertIs(run.decision.progress, rollout.Progress.TAKEN_BACK)
+        self.assertIs(run.decision.progress, verdict.Progress.TAKEN_BACK)
 
     def test_without_traffic_the_rollout_ends_visibly(self) -> None:
         run, _ = _run(builders_rollout.healthy, requests_per_s=0)
         self.assertEqual(
             run.decision,
-            rollout.Decision(
-                rollout.Progress.TAKEN_BACK,
+            verdict.Decision(
+                verdict.Progress.TAKEN_BACK,
                 0,
                 "TIME_OVER: step 1 of 4, 0 of 20 requests",
             ),
@@ -134,7 +135,7 @@
 
     def test_store_outage_holds_the_step_and_names_the_reason(self) -> None:
         rule = builders_rollout.build_rule()
-        judge = rollout.RolloutJudge(rule)
+        judge = verdict.RolloutJudge(rule)
         judge.decide(rule.start_s)
         held = judge.decide(rule.done_by_s - 1, store_available=False)
         self.assertEqual(held.step, 0)
@@ -143,7 +144,7 @@
 
     def test_final_decision_never_changes(self) -> None:
         run, traffic = _run(BAD_KINDS["fails at once"])
-        judge = rollout.RolloutJudge(
+        judge = verdict.RolloutJudge(
             builders_rollout.build_rule(), run.decision
         )
         judge.add(traffic.report(run.ended_s, 100))
@@ -154,7 +155,7 @@
     """Repeated reports do not count twice."""
 
     def test_report_with_a_known_number_is_ignored(self) -> None:
-        table = rollout.EvidenceTable("v1", "v2")
+        table = verdict.EvidenceTable("v1", "v2")
         row = builders_rollout.build_row("v2", 5, completed=3, failed=1)
         report = messages.EvidenceReport(
             node_id="n1", sequence=1, evidence=[row]
--- a/tests/test_rollout_keeper.py
+++ b/tests/test_rollout_keeper.py
@@ -5,12 +5,13 @@
 import unittest
 
 from geraniumstair import rollout
+from geraniumstair import verdict
 from tests import builders_keeper
 from tests import builders_rollout
 
 _RULE = builders_rollout.build_rule()
 _STEP_S = 60 * 0.9 / 4
-_TAKEN_BACK = rollout.Progress.TAKEN_BACK
+_TAKEN_BACK = verdict.Progress.TAKEN_BACK
 
 
 def setUpModule() -> None:  # noqa: N802
@@ -23,8 +24,8 @@
     logging.getLogger("geraniumstair").setLevel(logging.NOTSET)
 
 
-def _state(progress: rollout.Progress, step: int, reason: str = ""):
-    decision = rollout.Decision(progress, step, reason)
+def _state(progress: verdict.Progress, step: int, reason: str = ""):
+    decision = verdict.Decision(progress, step, reason)
     return rollout.state_of(_RULE, decision, builders_keeper.WALL_S)
 
 
@@ -34,11 +35,11 @@
     def test_verdict_is_never_overwritten(self) -> None:
         async def check(site: builders_keeper.KeeperSite) -> None:
             first, second = site.ledgers
-            done = _state(rollout.Progress.DONE, 3)
+            done = _state(verdict.Progress.DONE, 3)
             self.assertTrue((await first.save(done, 0, True)).unwrap())
             stop = _state(_TAKEN_BACK, 1, "late")
             self.assertIsNone((await second.save(stop, 0, True)).unwrap())
-            going_on = _state(rollout.Progress.GOING_ON, 1)
+            going_on = _state(verdict.Progress.GOING_ON, 1)
             self.assertIsNone((await second.save(going_on, 0, False)).unwrap())
             stored = await site.stored()
             self.assertTrue(stored.final)
@@ -49,11 +50,11 @@
     def test_step_of_a_judge_that_missed_one_is_refused(self) -> None:
         async def check(site: builders_keeper.KeeperSite) -> None:
             first, second = site.ledgers
-            step = _state(rollout.Progress.GOING_ON, 0)
+            step = _state(verdict.Progress.GOING_ON, 0)
             revision = (await first.save(step, 0, False)).unwrap()
-            step = _state(rollout.Progress.GOING_ON, 1)
+            step = _state(verdict.Progress.GOING_ON, 1)
             await second.save(step, revision, False)
-            late = _state(rollout.Progress.GOING_ON, 0)
+            late = _state(verdict.Progress.GOING_ON, 0)
             self.assertIsNone(
                 (await first.save(late, revision, False)).unwrap()
             )
@@ -155,7 +156,7 @@
             self.assertEqual(site.shown(0)[0], "DONE")
             # An operator's node that has not heard of it yet.
             site.restart(1)
-            stop = _state(_TAKEN_BACK, 3, rollout.REASON_OPERATOR)
+            stop = _state(_TAKEN_BACK, 3, verdict.REASON_OPERATOR)
             saved = await site.ledgers[1].save(stop, 0, True)
             self.assertIsNone(saved.unwrap())
             site.restart(0)
@@ -169,14 +170,14 @@
     def test_take_back_holds_while_the_judge_decides(self) -> None:
         async def check(site: builders_keeper.KeeperSite) -> None:
             await site.run(_STEP_S)
-            site.keepers[1].stop(_RULE, rollout.REASON_OPERATOR)
+            site.keepers[1].stop(_RULE, verdict.REASON_OPERATOR)
             await site.run(2)
-            expected = ("TAKEN_BACK", rollout.REASON_OPERATOR)
+            expected = ("TAKEN_BACK", verdict.REASON_OPERATOR)
             for index in range(2):
                 self.assertEqual(site.shown(index)[::2], expected)
             stored = await site.stored()
             self.assertTrue(stored.final)
-            self.assertEqual(stored.state.reason, rollout.REASON_OPERATOR)
+            self.assertEqual(stored.state.reason, verdict.REASON_OPERATOR)
 
         builders_keeper.run(check)
 
@@ -184,7 +185,7 @@
         async def check(site: builders_keeper.KeeperSite) -> None:
             site.cut_off = {1}
             await site.run(_STEP_S)
-            done = _state(rollout.Progress.DONE, 3)
+            done = _state(verdict.Progress.DONE, 3)
             await site.ledgers[0].save(done, 0, True)
             site.keepers[1].stop(_RULE, "FAILING")
             site.cut_off = set()
@@ -301,7 +302,7 @@
             await site.run(2, requests=0)
             stored = (await site.ledgers[0].load(_RULE.key)).unwrap()
             self.assertTrue(stored.final)
-            self.assertEqual(stored.state.reason, rollout.REASON_REMOVED)
+            self.assertEqual(stored.state.reason, verdict.REASON_REMOVED)
             # Operators still see it, under its key.
             (shown,) = site.boards[0].removed(without)
             self.assertEqual(shown.rollout, _RULE.key)
@@ -355,10 +356,10 @@
         (share,) = board.shares(topology)
         self.assertEqual(share.new_version, "v2")
         self.assertEqual(share.blocked, {"v3"})
-        board.merge(_state(rollout.Progress.DONE, 3))
+        board.merge(_state(verdict.Progress.DONE, 3))
         (share,) = board.shares(topology)
         self.assertEqual((share.new_version, share.share_pct), ("v2", 100))
-        decision = rollout.Decision(rollout.Progress.GOING_ON, 0, "")
+        decision = verdict.Decision(verdict.Progress.GOING_ON, 0, "")
         board.merge(rollout.state_of(second, decision, second.start_s))
         (share,) = board.shares(topology)
         self.assertEqual((share.new_version, share.share_pct), ("v3", 5))
