Replace a node that gives no sign of receipt of a group of shards

A node that is asked for a group counts as silent 250 ms after the first question, and its shards then count as having used all attempts, since three endpoints could have run them. Every asking node makes this experience by itself.

A ping follows each group. Without any sign within 100 ms the group is given up and its shards are asked once from here, if a repeat of each is left. The other node cannot have repeated a call by then, so two endpoints at most run it.

Ruled out: repeats without an acknowledgement, which could run a shard on three endpoints when links are cut; telling all nodes of a silent one, which needs a broadcast.

--- a/src/geraniumstair/forward/_budget.py
+++ b/src/geraniumstair/forward/_budget.py
@@ -75,12 +75,15 @@
         earned = bucket.tokens + USED_PART * self._limits.ratio
         bucket.tokens = min(self._capacity(service), earned)
 
+    def has(self, service: str) -> bool:
+        """Tells whether a repeat is left."""
+        return self._bucket(service).tokens >= 1
+
     def take(self, service: str) -> bool:
         """Takes a repeat from the budget; False if there is none left."""
-        bucket = self._bucket(service)
-        if bucket.tokens < 1:
+        if not self.has(service):
             return False
-        bucket.tokens -= 1
+        self._buckets[service].tokens -= 1
         return True
 
     def _capacity(self, service: str) -> float:
--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -69,6 +69,12 @@
         """Sends a request without a task that waits for the reply."""
         ...
 
+    def ping(self, node_id: str) -> None:
+        """Asks a peer for a sign of life."""
+
+    def heard_since(self, node_id: str, at_s: float) -> bool:
+        """Tells whether a peer sent anything after a monotonic time in s."""
+
     def responsive(self, node_id: str) -> bool:
         """Tells whether a stream is up and the peer answers on it."""
 
@@ -99,6 +105,8 @@
         records: The greatest records of these parts.
         failure: Why there are no parts; empty if there are.
         ran: The node may have called the shards.
+        received: False if the node gave no sign that it got the request. It
+            may still make its first calls, but is told to repeat none.
         tried: Endpoints that may have run the request, by shard; none for a
             shard if the node did not tell.
     """
@@ -107,6 +115,7 @@
     records: bytes
     failure: str = ""
     ran: bool = True
+    received: bool = True
     tried: Mapping[str, frozenset[str]] = dataclasses.field(
         default_factory=dict
     )
@@ -129,6 +138,11 @@
         """False if the node does not answer pings."""
         return self._owner.is_responsive(self.group.node_id)
 
+    @property
+    def received(self) -> bool:
+        """True if the node was heard since it was asked."""
+        return self._owner.was_heard(self)
+
     def give_up(self, *, failed: bool) -> None:
         """Ends the request; `failed` blames the node."""
         self._owner.end(self, failed=failed)
@@ -225,10 +239,18 @@
             self._blame(group.node_id, started.err_value.detail)
             return None
         pending.withdraw = started.ok_value
+        # The reply may take as long as the search; this one comes at once.
+        self._network.ping(group.node_id)
         waiting = self._outstanding.get(group.node_id, 0)
         self._outstanding[group.node_id] = waiting + 1
         return pending
 
+    def was_heard(self, pending: PendingGroup) -> bool:
+        """Tells whether a node was heard since it was asked."""
+        return self._network.heard_since(
+            pending.group.node_id, pending.started_s
+        )
+
     def is_responsive(self, node_id: str) -> bool:
         """Tells whether a node answers pings."""
         return self._network.responsive(node_id)
@@ -420,7 +442,7 @@
         for shard, endpoints in zip(group.shards, reply.tried, strict=False)
     }
     if reply.declined:
-        return GroupReply({}, b"", reply.declined, reply.ran, tried)
+        return GroupReply({}, b"", reply.declined, reply.ran, tried=tried)
     valid = range(len(group.shards))
     signatures = {
         group.shards[position]: signature
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -26,8 +26,9 @@
 BUDGET_PAUSE_S = 0.1
 # Repeats of one shard that certainly did not run.
 MAX_REFUSALS = 6
-# How often a node that asks shards is checked; its pings are far slower.
-GROUP_CHECK_S = 0.06
+# How often a node that asks shards is checked. A sign of life takes a few ms;
+# a node of half a core may not run at all for half of a tenth of a second.
+GROUP_CHECK_S = 0.1
 # Missing shards that one log line names.
 MAX_LOGGED_SHARDS = 6
 
@@ -193,7 +194,7 @@
         elif self._context.pool.size(shard.service) > attempts:
             # A node that fell silent may have used all of them. It could not
             # on fewer endpoints, whatever is called from here.
-            shard.runs = attempts
+            shard.runs = attempts if reply.received else 1
         return shard.runs < attempts
 
     def _arm_hedge(self, now_s: float) -> None:
@@ -204,14 +205,27 @@
     def _check_groups(self, now_s: float) -> None:
         self._check_s = math.inf
         for pending in list(self._groups):
-            if pending.responsive:
+            if not pending.received and self._can_replace(pending.group):
+                reply = _delegation.GroupReply(
+                    {}, b"", "no sign of receipt", received=False
+                )
+            elif not pending.responsive:
+                reply = _delegation.GroupReply({}, b"", "no answer to pings")
+            else:
                 self._check_s = now_s + GROUP_CHECK_S
                 continue
             pending.give_up(failed=True)
-            self._group_replied(
-                pending.group,
-                _delegation.GroupReply({}, b"", "no answer to pings"),
-            )
+            self._group_replied(pending.group, reply)
+
+    def _can_replace(self, group: _delegation.Group) -> bool:
+        """True if all shards of a group may be asked again from here.
+
+        Otherwise a late reply is better than none.
+        """
+        if self._route.max_attempts < 2:
+            return False
+        budget = self._context.budget
+        return all(budget.has(shard) for shard in group.shards)
 
     # ---- calls ----
 
--- a/src/geraniumstair/peers/_connection.py
+++ b/src/geraniumstair/peers/_connection.py
@@ -233,12 +233,16 @@
             return True
         return self._silent_ms(now_s) <= UNRESPONSIVE_MS
 
+    def heard_since(self, at_s: float) -> bool:
+        """Tells whether anything was received after a monotonic time in s."""
+        return self._last_received_s > at_s
+
     async def probe(self) -> bool:
         """Pings the peer; True if it sends anything within the limit."""
         if self.closed:
             return False
         self._expect_answer()
-        self._ping()
+        self.ping()
         with trio.move_on_after(UNRESPONSIVE_MS / 1000):
             await self._received.wait()
             return True
@@ -255,7 +259,8 @@
             self._expecting_since_s = trio.current_time()
             self._answer_wanted.set()
 
-    def _ping(self) -> None:
+    def ping(self) -> None:
+        """Asks the peer for a sign of life."""
         self.send(messages.Ping(answer=True))
 
     async def _write_loop(self) -> None:
@@ -285,7 +290,7 @@
                 self.close()
                 return
             if self._pending or self._expecting_since_s is not None:
-                self._ping()
+                self.ping()
 
     async def _read_loop(self, nursery: trio.Nursery) -> None:
         while True:
--- a/src/geraniumstair/peers/_network.py
+++ b/src/geraniumstair/peers/_network.py
@@ -173,6 +173,17 @@
         connection = self._stream_to(node_id)
         return connection is not None and connection.responsive()
 
+    def ping(self, node_id: str) -> None:
+        """Asks a peer for a sign of life; see `heard_since`."""
+        connection = self._stream_to(node_id)
+        if connection is not None:
+            connection.ping()
+
+    def heard_since(self, node_id: str, at_s: float) -> bool:
+        """Tells whether a peer sent anything after a monotonic time in s."""
+        connection = self._stream_to(node_id)
+        return connection is not None and connection.heard_since(at_s)
+
     async def probe(self, node_id: str) -> bool:
         """Pings a peer; False without an answer within 250 ms."""
         connection = self._stream_to(node_id)
--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -437,9 +437,27 @@
 
 
 class DirectNetwork(FakeNetwork):
-    """Also makes calls without a task, and can fall silent."""
+    """Also makes calls without a task, and can fall silent.
+
+    Attributes:
+        silent: It serves requests, but its replies get lost.
+        dark: It gets no requests, and nobody has noticed yet.
+        busy_s: Time until it reads a request.
+    """
 
     silent = False
+    dark = False
+    busy_s = 0.0
+
+    def ping(self, node_id: str) -> None:
+        """Asks for a sign of life."""
+
+    def heard_since(self, node_id: str, at_s: float) -> bool:
+        """Tells whether the peer read something after a time."""
+        other = self._nodes[node_id]
+        if other.dark:
+            return False
+        return trio.current_time() >= at_s + other.busy_s
 
     def responsive(self, node_id: str) -> bool:
         """Tells whether the peer answers."""
@@ -457,6 +475,9 @@
         async def serve() -> None:
             with scope:
                 other = self._nodes[node_id]
+                if other.dark:
+                    await trio.sleep_forever()
+                await trio.sleep(other.busy_s)
                 handler = other.handlers[type(request)]
                 reply = await handler(self.node_id, request)
                 if other.silent:
--- a/tests/test_forward_delegation.py
+++ b/tests/test_forward_delegation.py
@@ -36,12 +36,14 @@
     Six of the eight shards have endpoints in zone b only.
     """
 
-    def __init__(self, nursery: trio.Nursery, **route: object) -> None:
+    def __init__(
+        self, nursery: trio.Nursery, copies: str = "xy", **route: object
+    ) -> None:
         names = [f"s{i}" for i in range(8)]
         self.route = builders.search_route(names, top_k=8, **route)
         entries: list[discovery.EndpointEntry] = []
         for i, name in enumerate(names):
-            for copy in "xy":
+            for copy in copies:
                 zone = "a" if i < 2 else "b"
                 entries.append(
                     builders.entry(
@@ -76,7 +78,7 @@
         )
         for i in range(8):
             for edge in (self.near, self.far):
-                for copy in "xy":
+                for copy in copies:
                     edge.site.behaviour(f"{copy}{i}").reply = builders.answer(
                         b"%d" % i * 16, signature=b"p%d" % i
                     )
@@ -142,6 +144,39 @@
 
         _run(test)
 
+    def test_a_node_that_never_got_the_request_is_replaced_in_time(
+        self,
+    ) -> None:
+        # A grown day on the bench: machines lost power. Until each node had
+        # noticed, searches through them failed, because the lost nodes might
+        # have used all attempts of three endpoints.
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery, copies="xyz", min_coverage=0.9)
+            site.far_network.dark = True
+            started_s = trio.current_time()
+            outcome = await site.search()
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(outcome.missing, 0)
+            self.assertLess(trio.current_time() - started_s, 0.2)
+            # The other node may yet make one call for each shard.
+            self.assertEqual(len(site.near.site.sent), 8)
+
+        _run(test)
+
+    def test_a_busy_node_is_waited_for_if_no_repeats_are_left(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery, copies="xyz", min_coverage=0.9)
+            site.near.budget.set_limits(forward.BudgetLimits(0.0, 10.0, 0.0))
+            while site.near.budget.take("s5"):
+                pass
+            site.far_network.busy_s = 0.15
+            outcome = await site.search()
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(outcome.missing, 0)
+            self.assertEqual(len(site.far.site.sent), 6)
+
+        _run(test)
+
     def test_a_zone_without_power_is_bypassed(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             site = _Site(nursery, min_coverage=1.0)
