--- a/src/geraniumstair/forward/_timing.py
+++ b/src/geraniumstair/forward/_timing.py
@@ -8,7 +8,7 @@
 
 # Time that a request and its answer spend on the network, connecting included.
 # The latency goal counts from the caller's first byte.
-NETWORK_MARGIN_MS = 7.0
+NETWORK_MARGIN_MS = 9.5
 # Processor time, at one core, that reading a request, merging its parts and
 # writing the answer take.
 PROCESSOR_MARGIN_MS = 6.0
