Let rollouts end, and let nodes of two versions exchange notices

Cause: reading the new code again. A rollout that was done held back every other version of the service for as long as its order stood in the store. Reports of a restarted judge's peers were told apart by an object's address, which may be the same in two processes. A notice without the new field, from a node of the version before, would have closed the stream during an upgrade.

A done rollout holds other versions back for 15 s. Processes draw a random sender name. The field has a default.

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -632,12 +632,15 @@
     """
     Time since some node's watch of the store worked; negative if unknown.
     """
-    wants_notices: Annotated[
-        bool,
-        Meta(
-            description="The sender counts the receiver among its neighbours and relies on its notices."
-        ),
-    ]
+    wants_notices: (
+        Annotated[
+            bool,
+            Meta(
+                description="The sender counts the receiver among its neighbours and relies on its notices."
+            ),
+        ]
+        | UnsetType
+    ) = False
     """
     The sender counts the receiver among its neighbours and relies on its notices.
     """
--- a/src/geraniumstair/edge/_rollouts.py
+++ b/src/geraniumstair/edge/_rollouts.py
@@ -12,6 +12,7 @@
 from collections.abc import Sequence
 import dataclasses
 import logging
+import random
 from typing import Any
 from typing import Protocol
 
@@ -41,6 +42,9 @@
 FINISH_MARGIN_S = 2.0
 # Least part of the ordered time that remains after the margin.
 LEAST_TIME_PART = 0.5
+# Endpoints of the old version stop when the end is recorded, and their entries
+# lapse some seconds later. After that, any version may be deployed again.
+DONE_GUARD_S = 15.0
 REASON_NOT_RECORDED = "STORE_OUTAGE: the end could not be recorded in time"
 
 
@@ -147,6 +151,7 @@
         )
         self.judge = verdict.RolloutJudge(plan)
         self.decided_s = now_s
+        self.done_s: float | None = None
         self.writing = False
         self.store_works = True
 
@@ -165,8 +170,10 @@
             verdict.Progress.TAKEN_BACK,
         )
 
-    def share(self) -> verdict.VersionShare:
-        """Returns the share of the new version now."""
+    def share(self, now_s: float) -> verdict.VersionShare | None:
+        """Returns the share of the new version; None if any may get all."""
+        if self.done_s is not None and now_s >= self.done_s + DONE_GUARD_S:
+            return None
         key, share_pct = self.order.key, 0.0
         stopped = self.judge.decision.progress is verdict.Progress.TAKEN_BACK
         if self.recorded is verdict.Progress.DONE:
@@ -228,7 +235,7 @@
         self._records: dict[str, RolloutRecord] = {}
         self._candidates: Sequence[str] = (node_id,)
         # Reports of a restarted process must not look like repeated ones.
-        self._sender = f"{node_id}#{id(self):x}"
+        self._sender = f"{node_id}#{random.getrandbits(64):x}"
         self._sequence = 0
         self.versions = verdict.VersionBook(
             clock, self._stopped_here, cold_answers=0
@@ -292,6 +299,8 @@
         if rollout.ended:
             return
         rollout.record = record
+        if record.progress is verdict.Progress.DONE:
+            rollout.done_s = self._clock()
         _LOG.info(
             "edge: a rollout's progress was recorded",
             extra=observe.fields(
@@ -303,7 +312,9 @@
         )
 
     def _apply(self) -> None:
-        self.versions.adopt([r.share() for r in self._rollouts.values()])
+        now_s = self._clock()
+        shares = [r.share(now_s) for r in self._rollouts.values()]
+        self.versions.adopt([share for share in shares if share is not None])
 
     # ---- judging ----
 
@@ -314,6 +325,7 @@
                 await trio.sleep(DECISION_INTERVAL_S)
                 if not self._rollouts:
                     continue
+                self._apply()
                 self._send_evidence()
                 for rollout in list(self._rollouts.values()):
                     self._judge(rollout, nursery)
@@ -457,6 +469,7 @@
 
     def dump(self) -> Mapping[str, Any]:
         """Returns the state for the state dump."""
+        now_s = self._clock()
         return {
             service: {
                 "version": rollout.order.version,
@@ -464,7 +477,9 @@
                 "decided": rollout.judge.decision.progress.value,
                 "reason": rollout.judge.decision.reason,
                 "recorded": rollout.recorded.value,
-                "share_pct": rollout.share().share_pct,
+                "share_pct": share.share_pct
+                if (share := rollout.share(now_s))
+                else None,
                 "judges": self._judges(rollout.order.key),
             }
             for service, rollout in sorted(self._rollouts.items())
--- a/tests/test_edge_rollouts.py
+++ b/tests/test_edge_rollouts.py
@@ -135,5 +135,11 @@
                 n.versions.gate(builders.SERVICE) for n in site.nodes.values()
             ]
             self.assertTrue(all(g and g.allows("v2") for g in gates))
+            # A later deployment of another version is not held back.
+            await trio.sleep(15)
+            gates = [
+                n.versions.gate(builders.SERVICE) for n in site.nodes.values()
+            ]
+            self.assertEqual(set(gates), {None})
 
         _run(test)
