--- a/src/geraniumstair/edge/_presence.py
+++ b/src/geraniumstair/edge/_presence.py
@@ -23,7 +23,8 @@
 LEASE_TTL_S = 30
 RENEW_INTERVAL_S = 8.0
 RETRY_S = 0.5
-# How often open streams are looked at; registrations are followed at once.
+# How often open streams are looked at, as often as peers send notices;
+# registrations are followed at once.
 FOLLOW_INTERVAL_S = 0.5
 # Registrations come in groups, above all when a site starts.
 FOLLOW_BATCH_S = 0.1
--- a/src/geraniumstair/edge/_rollouts.py
+++ b/src/geraniumstair/edge/_rollouts.py
@@ -29,13 +29,16 @@
 from geraniumstair._generated import messages
 
 _LOG = logging.getLogger(__name__)
+# Ten times within the 5 s in which a version that has shown itself to be bad
+# must get nothing more.
 DECISION_INTERVAL_S = 0.5
 # Judges of one rollout; two of them may be lost.
 JUDGES = 3
 # The second judge writes this much later than the first one, the third twice
 # as much, so that usually one of them writes. Changes spread faster.
 TURN_S = 1.0
-# Part of the share that the site allows a version that may be bad.
+# Part used of the share that the site allows a version that may be bad. The
+# rest is for nodes that are told late, and for counts that each node rounds.
 USED_PART = 0.8
 # A good version is recorded as done this long before its time is over, because
 # writing takes up to 1.5 s when the store is slow.
