Let nodes that took the watch over go on for 30 s

The first answer to a node that took over ended the silence that had called for it, so it stopped, and what that answer did not hold waited for the next silence.

A node that takes over goes on for 30 s.

--- a/src/geraniumstair/mirror/_watchers.py
+++ b/src/geraniumstair/mirror/_watchers.py
@@ -16,6 +16,9 @@
 # a change must be in force within 5 s.
 SMALL_SITE_NODES = 10
 LARGE_SILENCE_S = 3.8
+# A node that took over goes on for this time. Otherwise the first answer would
+# end its duty, and later changes would wait for the next silence.
+HOLD_S = 30.0
 
 
 def rank(names: Iterable[str]) -> list[str]:
@@ -37,6 +40,7 @@
         self._node_id = node_id
         self._clock = clock
         self._heard_s = -SILENCE_S
+        self._hold_until_s = 0.0
         self._members: frozenset[str] = frozenset([node_id])
 
     def set_members(self, members: frozenset[str]) -> None:
@@ -68,5 +72,10 @@
         # The next nodes take over from the first ones, and twice as many
         # each time that these don't work either.
         doublings = min(_MAX_DOUBLINGS, int(self.heard_age_s / self._silence_s))
-        watching = WATCHERS * 2**doublings
-        return self._node_id in rank(self._members)[:watching]
+        ranked = rank(self._members)
+        if self._node_id in ranked[:WATCHERS]:
+            return True
+        now_s = self._clock()
+        if self._node_id in ranked[: WATCHERS * 2**doublings]:
+            self._hold_until_s = now_s + HOLD_S
+        return now_s < self._hold_until_s
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -182,6 +182,11 @@
             await trio.sleep(limit_s)
             late = [n for n, copy in copies.items() if copy.get("b") is None]
             self.assertEqual(late, [])
+            # Those that took over go on, so the next change is no later.
+            source.put("c", b"3")
+            await trio.sleep(2.0)
+            late = [n for n, copy in copies.items() if copy.get("c") is None]
+            self.assertEqual(late, [])
 
         _run(test)
 
