Pause the owner in its test only once a request has run

Cause: the test paused the owner of the ledger 20 ms after it had sent 20 requests. On a busy machine the owner had recorded all 20 claims by then and run none, so all of them were answered as claimed (409, and 504 at the node that waited). That is allowed: a claimed request may have run.

Now the test waits for the first answer before it pauses the owner, and checks that not all requests are answered then. The check on the number that ran is as it was.

--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -50,20 +50,28 @@
             others = [n for n in site.node_ids if n != owner]
             keys = [f"bill-{i}" for i in range(40)]
             refused: set[str] = set()
+            answered: set[str] = set()
+            ran = trio.Event()
 
             async def send(key: str) -> None:
-                replies = [
-                    await builders_site.bill(site, node_id, key)
-                    for node_id in others
-                ]
+                replies = []
+                for node_id in others:
+                    replies.append(await builders_site.bill(site, node_id, key))
+                    if replies[-1].status == 200:
+                        ran.set()
+                answered.add(key)
                 if all(r.answer["not_run"] for r in replies):
                     refused.add(key)
 
             async with trio.open_nursery() as nursery:
                 for key in keys[:20]:
                     nursery.start_soon(send, key)
-                await trio.sleep(0.02)
+                # Paused by the clock, a slow owner may have claimed all of
+                # them and run none, which is allowed but tests nothing.
+                with trio.fail_after(builders_site.CONDITION_TIMEOUT_S):
+                    await ran.wait()
                 site.pause_node(owner)
+                self.assertLess(len(answered), 20)
             await self._wait_taken_over(site, owner)
             names = [n for n in site.endpoints.endpoints if "ledger" in n]
             await site.endpoints.control("kill", names)
