Follow only the services of the endpoints that changed

Cause: each change of one endpoint made the pool go over all endpoints, about 3 ms with 675 of them. The endpoints of a site register one after the other while the nodes start, so a node of a large site did this several hundred times before its first request, and again during replacements.

The registry now keeps the services with changes, and the pool looks at these only. A change of the members or of the routes goes over all services, with the connections per endpoint worked out once per service.

Ruled out: one refresh for all changes of 50 ms. It delays what a draining endpoint announces and still goes over all endpoints 20 times a second.

The new test saw all 225 services looked at before and sees one now. The test of connections no longer reaches into the pool to change its node; its bound is the same.

--- a/src/geraniumstair/discovery/_registry.py
+++ b/src/geraniumstair/discovery/_registry.py
@@ -71,14 +71,28 @@
         self._clock = clock
         self._entries: dict[str, EndpointEntry] = {}
         self._lapsed_at_s: dict[str, float] = {}
+        self._changed: set[str] = set()
         self.generation = 0
 
     def put(self, entry: EndpointEntry) -> None:
         """Adds or changes an endpoint."""
         self._lapsed_at_s.pop(entry.endpoint_id, None)
-        if self._entries.get(entry.endpoint_id) != entry:
+        known = self._entries.get(entry.endpoint_id)
+        if known != entry:
             self._entries[entry.endpoint_id] = entry
-            self.generation += 1
+            self._note_change(entry)
+            if known is not None:
+                self._changed.add(known.service)
+
+    def _note_change(self, entry: EndpointEntry) -> None:
+        self._changed.add(entry.service)
+        self.generation += 1
+
+    def take_changed(self) -> frozenset[str]:
+        """Returns the services with changes since the last call."""
+        changed = frozenset(self._changed)
+        self._changed.clear()
+        return changed
 
     def lapse(self, endpoint_id: str) -> None:
         """Notes that the entry of an endpoint is gone."""
@@ -93,7 +107,7 @@
                 entry, state=EndpointState.LAPSED
             )
             self._lapsed_at_s[endpoint_id] = self._clock()
-        self.generation += 1
+        self._note_change(entry)
 
     @property
     def lapsing(self) -> bool:
@@ -107,9 +121,9 @@
         removed = []
         for endpoint_id in old:
             del self._lapsed_at_s[endpoint_id]
-            removed.append(self._entries.pop(endpoint_id))
-        if removed:
-            self.generation += 1
+            entry = self._entries.pop(endpoint_id)
+            self._note_change(entry)
+            removed.append(entry)
         return removed
 
     def entries(self) -> Iterable[EndpointEntry]:
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
+from collections.abc import Set
 import dataclasses
 import logging
 import random
@@ -109,6 +110,7 @@
         self._by_service: dict[str, list[_replica.Replica]] = {}
         self._cold_limits: dict[str, _ColdLimit] = {}
         self._table: routing.RouteTable | None = None
+        self._wanted: frozenset[str] = frozenset()
         self._present: frozenset[str] = frozenset([settings.node_id])
         self._present_s: dict[str, float] = {}
         # Those present, and those that were a short time ago.
@@ -129,7 +131,9 @@
             if len(route.shards) >= LARGE_SEARCH_SHARDS
             for service in route.shards
         )
-        self.refresh()
+        # Only a few nodes call grouped services; they connect when they do.
+        self._wanted = table.services() - self._grouped
+        self._refresh_all()
 
     def set_members(self, members: Collection[str]) -> None:
         """Sets the nodes that share the endpoints' connections."""
@@ -137,7 +141,8 @@
         now_s = trio.current_time()
         self._present_s.update(dict.fromkeys(self._present | present, now_s))
         self._present = present
-        self.refresh()
+        self._members = self._recent_members()
+        self._refresh_all()
 
     def _recent_members(self) -> Sequence[str]:
         before_s = trio.current_time() - MEMBER_MEMORY_S
@@ -163,12 +168,40 @@
                 replica.cold_until_s = trio.current_time() + limits.warmup_s
 
     def refresh(self) -> None:
-        """Follows the registry; connections of removed endpoints close."""
-        self._members = self._recent_members()
-        entries = {e.lifetime: e for e in self._registry.entries()}
-        for lifetime in self._replicas.keys() - entries.keys():
+        """Follows the registry; connections of removed endpoints close.
+
+        Endpoints of a large site register one after the other, so only the
+        services that changed are looked at.
+        """
+        members = self._recent_members()
+        if members != self._members:
+            self._members = members
+            self._refresh_all()
+            return
+        self._follow(self._registry.take_changed())
+
+    def _refresh_all(self) -> None:
+        changed = self._registry.take_changed()
+        registered = {e.service for e in self._registry.entries()}
+        self._follow(changed | registered | self._by_service.keys())
+
+    def _follow(self, services: Set[str]) -> None:
+        if not services:
+            return
+        entries = {
+            e.lifetime: e
+            for e in self._registry.entries()
+            if e.service in services
+        }
+        gone = [
+            lifetime
+            for lifetime, replica in self._replicas.items()
+            if replica.entry.service in services and lifetime not in entries
+        ]
+        for lifetime in gone:
             self._replicas.pop(lifetime).close()
-        self._forget_cold_limits()
+        if gone:
+            self._forget_cold_limits()
         for lifetime, entry in entries.items():
             replica = self._replicas.get(lifetime)
             if replica is None:
@@ -177,8 +210,7 @@
             elif entry.warmup_left_ms and entry != replica.entry:
                 self._note_cold(replica, entry)
             replica.entry = entry
-            replica.max_links = self._max_links(entry.service)
-        self._index()
+        self._index(services)
 
     def _add(self, entry: discovery.EndpointEntry) -> _replica.Replica:
         replica = _replica.Replica(
@@ -199,18 +231,21 @@
         left_s = entry.warmup_left_ms / 1000
         replica.cold_until_s = trio.current_time() + left_s
 
-    def _index(self) -> None:
-        self._by_service = {}
+    def _index(self, services: Set[str]) -> None:
+        found: dict[str, list[_replica.Replica]] = {}
         for replica in self._replicas.values():
-            service = replica.entry.service
-            self._by_service.setdefault(service, []).append(replica)
-        wanted = self._table.services() if self._table else frozenset()
-        # Only a few nodes call grouped services; they connect when they do.
-        wanted -= self._grouped
-        for service, replicas in self._by_service.items():
-            replicas[:] = self._subset(service, replicas)
-            if service in wanted:
-                for replica in replicas:
+            if replica.entry.service in services:
+                found.setdefault(replica.entry.service, []).append(replica)
+        for service in services:
+            self._by_service.pop(service, None)
+        for service, replicas in found.items():
+            max_links = self._max_links(service)
+            for replica in replicas:
+                replica.max_links = max_links
+            used = self._subset(service, replicas)
+            self._by_service[service] = used
+            if service in self._wanted:
+                for replica in used:
                     if replica.entry.state is discovery.EndpointState.READY:
                         replica.warm()
 
--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -248,6 +248,7 @@
         budget: Limits of repeats.
         limits: Limits of every service.
         members: Nodes of the site besides this one.
+        node_id: This node.
     """
 
     def __init__(
@@ -259,6 +260,7 @@
         budget: forward.BudgetLimits | None = None,
         limits: dict[str, Any] | None = None,
         members: Sequence[str] = (),
+        node_id: str = "n1",
     ) -> None:
         self.site = FakeSite()
         self.registry = discovery.EndpointRegistry(trio.current_time)
@@ -268,7 +270,7 @@
             trio.current_time, self.stopped.append, cold_answers=0
         )
         self.pool = forward.EndpointPool(
-            forward.PoolSettings("n1", "a", 10.0),
+            forward.PoolSettings(node_id, "a", 10.0),
             self.registry,
             self.site,
             nursery,
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -530,9 +530,8 @@
                     [builders.route()],
                     limits={"max_connections": 50},
                     members=members,
+                    node_id=member,
                 )
-                edge.pool._settings = forward.PoolSettings(member, "a", 1.0)
-                edge.pool.refresh()
                 for replica in edge.pool._by_service["s1"]:
                     name = replica.entry.endpoint_id
                     used[name] = used.get(name, 0) + replica.max_links
@@ -540,6 +539,34 @@
 
         _run(test)
 
+    def test_one_endpoint_that_registers_costs_little_on_a_large_site(
+        self,
+    ) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            # 225 services of three endpoints, as on the large sites. They
+            # register one after the other while the nodes start.
+            entries = [
+                builders.entry(f"{copy}{i}", service=f"s{i}")
+                for i in range(225)
+                for copy in "xyz"
+            ]
+            route = builders.search_route([f"s{i}" for i in range(225)])
+            edge = builders.Edge(nursery, entries, [route])
+            looked_at = []
+            users = edge.pool.users
+
+            def count(service: str) -> int:
+                looked_at.append(service)
+                return users(service)
+
+            edge.pool.users = count
+            edge.registry.put(builders.entry("w7", service="s7"))
+            edge.pool.refresh()
+            self.assertEqual(set(looked_at), {"s7"})
+            self.assertEqual(edge.pool.size("s7"), 4)
+
+        _run(test)
+
     def test_a_removed_endpoint_gets_no_more_calls(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             edge = builders.Edge(
