Ask for the connected nodes once per plan of a search

Cause: the plan of a large search asked the peer network for the connected nodes once for each group: 23 groups times 86 peers.

The new test saw six questions per plan before and sees one now.

--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+from collections.abc import Set
 import dataclasses
 import itertools
 import logging
@@ -197,12 +198,14 @@
         if known is None or known[0] <= now_s:
             known = (now_s + PLAN_LIFETIME_S, self._group(route.shards))
             self._plans[route.name] = known
+        # A large search has dozens of groups, and a large site many peers.
+        connected = self._network.connected()
         groups = []
         for group in known[1]:
             if group.key:
-                node_id = self._choose_by_key(group, now_s)
+                node_id = self._choose_by_key(group, connected, now_s)
             else:
-                node_id = self._choose(group.zone, now_s)
+                node_id = self._choose(group.zone, connected, now_s)
             if node_id is not None and node_id != self._node_id:
                 groups.append(Group(node_id, tuple(group.shards)))
         return groups
@@ -292,9 +295,10 @@
         self._avoid_until_s[node_id] = now_s + avoid_s
         _LOG.info("forward: node %s gave no parts: %s", node_id, why)
 
-    def _choose_by_key(self, group: "_ZoneGroup", now_s: float) -> str | None:
+    def _choose_by_key(
+        self, group: "_ZoneGroup", connected: Set[str], now_s: float
+    ) -> str | None:
         """Returns the first usable node for a group, the same on all nodes."""
-        connected = self._network.connected()
         nodes = self._group_nodes.get(group.zone, [])
         for node_id in _ranked(nodes, group.key):
             if node_id == self._node_id:
@@ -308,9 +312,11 @@
             return False
         return self._network.responsive(node_id)
 
-    def _choose(self, zone: str, now_s: float) -> str | None:
+    def _choose(
+        self, zone: str, connected: Set[str], now_s: float
+    ) -> str | None:
         best, best_cost = None, math.inf
-        for node_id in self._network.connected():
+        for node_id in connected:
             if self._zones.get(node_id) != zone:
                 continue
             if not self._is_usable(node_id, now_s):
--- a/tests/test_forward_delegation.py
+++ b/tests/test_forward_delegation.py
@@ -90,6 +90,19 @@
         )
 
 
+class _CountingNetwork(builders.DirectNetwork):
+    """Counts the questions for the connected nodes."""
+
+    asked = 0
+
+    def connected(self) -> frozenset[str]:
+        self.asked += 1
+        return super().connected()
+
+    def responsive(self, node_id: str) -> bool:
+        return True
+
+
 _ALL = b"".join(b"%d" % i * 16 for i in range(7, -1, -1))
 
 
@@ -136,6 +149,31 @@
 
         _run(test)
 
+    def test_a_plan_asks_for_the_connected_nodes_once(self) -> None:
+        # With 87 nodes and 23 groups a search spent most of its processor
+        # time on one such answer for each group.
+        async def test(nursery: trio.Nursery) -> None:
+            names = [f"s{i}" for i in range(60)]
+            route = builders.search_route(names)
+            entries = [builders.entry(f"x{n}", service=n) for n in names]
+            site = _Site(nursery)
+            edge = builders.Edge(nursery, entries, [route])
+            network = _CountingNetwork("n1", site.networks)
+            delegation = forward.Delegation(
+                "n1",
+                "a",
+                edge.pool,
+                network,
+                site.near_node,
+                random.Random(1),
+            )
+            delegation.set_zones({"n1": "a", "n2": "a"})
+            groups = delegation.plan(route)
+            self.assertTrue(groups)
+            self.assertEqual(network.asked, 1)
+
+        _run(test)
+
     def test_a_node_that_cannot_help_is_replaced_at_once(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             for spoil in ("stopping", "version", "cut"):
