Keep the output of each start of a node in the soak

Ruled out: the later life of n0 (its output has no such request); a kill or pause of n0 (none was injected there).

Each start of a node now writes files of its own.

--- a/soak/_site.py
+++ b/soak/_site.py
@@ -40,6 +40,7 @@
         # What other nodes see as its peer listener.
         self.peer_proxy = _proxy.Proxy(self.ports[2])
         self.disturbances: list[tuple[float, float]] = []
+        self._starts = 0
         self._zone = zone
         self._directory = directory
         self._store_port = store_port
@@ -79,8 +80,11 @@
         }
         path = self._directory / f"{self.name}.json"
         path.write_text(json.dumps(settings))
+        # Each start writes files of its own, so that a fault can be traced
+        # in the output of the process that showed it.
+        self._starts += 1
         self._process = _processes.ManagedProcess(
-            self.name,
+            f"{self.name}-{self._starts}",
             ["-m", "geraniumstair.platform"],
             self._directory,
             {**os.environ, "GERANIUMSTAIR_BOOT": str(path)},
