Share the played site and the endpoint's work in the load tests

The burst test repeated the route, the endpoints and the asking of the other played load, and the fake link told the queueing endpoint apart by its type.

Both loads now use one site and one way to ask, and each behaviour does its own work. No check, bound or load changes.

Conclusion: the same tests with less text.

--- a/tests/builders_edge.py
+++ b/tests/builders_edge.py
@@ -150,6 +150,13 @@
     )
     connects: bool = True
 
+    async def work(self, closed: trio.Event) -> bool:
+        """Works on a call; False if its connection closed before the end."""
+        with trio.move_on_after(self.delay_s):
+            await closed.wait()
+            return False
+        return True
+
 
 class QueueingBehaviour(Behaviour):
     """An endpoint that works on a few calls at once and queues the others.
@@ -167,7 +174,7 @@
         self._work_s = work_s
 
     async def work(self, closed: trio.Event) -> bool:
-        """Works on a call; False if its connection closed before the end."""
+        """Works on a call as soon as a slot is free."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_after, closed, nursery.cancel_scope)
             async with self._slots:
@@ -225,13 +232,8 @@
 
     async def _reply(self, owner: Any) -> None:
         behaviour = self._site.behaviour(self._endpoint_id)
-        if isinstance(behaviour, QueueingBehaviour):
-            if not await behaviour.work(self._wake):
-                return
-        else:
-            with trio.move_on_after(behaviour.delay_s):
-                await self._wake.wait()
-                return
+        if not await behaviour.work(self._wake):
+            return
         if behaviour.reply is None:
             await self._wake.wait()
             return
--- a/tests/test_forward_load.py
+++ b/tests/test_forward_load.py
@@ -11,6 +11,7 @@
 
 from geraniumstair import discovery
 from geraniumstair import forward
+from geraniumstair import routing
 from tests import builders_edge as builders
 
 # One of seven nodes, as on the small sites: 20 shards of two endpoints, 6.4
@@ -117,6 +118,33 @@
         )
 
 
+def _site() -> tuple[routing.Route, list[discovery.EndpointEntry]]:
+    """Returns a search over all shards, and their endpoints."""
+    route = builders.search_route(
+        [f"s{i}" for i in range(SHARDS)],
+        latency_goal_ms=LATENCY_GOAL_MS,
+        min_coverage=LEAST_COVERAGE,
+        timeout_ms=TIMEOUT_S * 1000,
+    )
+    entries = [
+        builders.entry(f"{zone}{i}", service=f"s{i}")
+        for i in range(SHARDS)
+        for zone in "ab"
+    ]
+    return route, entries
+
+
+async def _ask(
+    edge: builders.Edge, route: routing.Route, answers: _Answers
+) -> None:
+    """Sends one search and notes what its caller gets."""
+    started_s = trio.current_time()
+    outcome = await edge.forwarder.forward(
+        builders.caller_request(remaining_ms=TIMEOUT_S * 1000), route
+    )
+    answers.add(outcome, (trio.current_time() - started_s) * 1000)
+
+
 def _play(
     slow: dict[str, float] | None = None,
     dead: Callable[[builders.Behaviour], None] | None = None,
@@ -138,18 +166,7 @@
 
     async def play() -> None:
         async with trio.open_nursery() as nursery:
-            names = [f"s{i}" for i in range(SHARDS)]
-            route = builders.search_route(
-                names,
-                latency_goal_ms=LATENCY_GOAL_MS,
-                min_coverage=LEAST_COVERAGE,
-                timeout_ms=TIMEOUT_S * 1000,
-            )
-            entries: list[discovery.EndpointEntry] = [
-                builders.entry(f"{zone}{i}", service=f"s{i}")
-                for i in range(SHARDS)
-                for zone in "ab"
-            ]
+            route, entries = _site()
             edge = builders.Edge(nursery, entries, [route], budget=BUDGET)
             edge.budget.set_users(lambda service: NODES)
             for entry in entries:
@@ -158,14 +175,9 @@
                 edge.site.behaviours[name] = _Pausing(rng, factor)
 
             async def ask() -> None:
-                started_s = trio.current_time()
-                outcome = await edge.forwarder.forward(
-                    builders.caller_request(remaining_ms=TIMEOUT_S * 1000),
-                    route,
-                )
-                took_ms = (trio.current_time() - started_s) * 1000
-                phase = _phase(started_s) if dead is not None else "usual"
-                answers[phase].add(outcome, took_ms)
+                now_s = trio.current_time()
+                phase = _phase(now_s) if dead is not None else "usual"
+                await _ask(edge, route, answers[phase])
 
             async def fail() -> None:
                 if dead is None:
@@ -288,34 +300,16 @@
     """Plays a load on each of all nodes, whose endpoints have queues."""
     rng = random.Random(2)
     answers = _Answers()
-    names = [f"s{i}" for i in range(SHARDS)]
-    route = builders.search_route(
-        names,
-        latency_goal_ms=LATENCY_GOAL_MS,
-        min_coverage=LEAST_COVERAGE,
-        timeout_ms=TIMEOUT_S * 1000,
-    )
+    route, entries = _site()
     nodes = [f"n{i}" for i in range(NODES)]
-    entries = [
-        builders.entry(f"{zone}{i}", service=f"s{i}")
-        for i in range(SHARDS)
-        for zone in "ab"
-    ]
 
     def work_s() -> float:
         return rng.gammavariate(WORK_SHAPE, MEAN_WORK_S / WORK_SHAPE)
 
-    async def ask(edge: builders.Edge) -> None:
-        started_s = trio.current_time()
-        outcome = await edge.forwarder.forward(
-            builders.caller_request(remaining_ms=TIMEOUT_S * 1000), route
-        )
-        answers.add(outcome, (trio.current_time() - started_s) * 1000)
-
     async def call(edge: builders.Edge, nursery: trio.Nursery) -> None:
         while trio.current_time() < BURST_S:
             await trio.sleep(rng.expovariate(searches_per_s))
-            nursery.start_soon(ask, edge)
+            nursery.start_soon(_ask, edge, route, answers)
 
     async def play() -> None:
         site = builders.FakeSite()
