Elect watchers from the first read, and call each zone through few nodes

Cause: a node that had just started counted the time since the last known watch from the start of its clock, which is a random number of hours. So every node of a site took itself for a watcher, held that for 30 s, and returned to the store at each registration. Searches of 87 shards over five zones sent up to 25 messages to other zones, and every node kept streams to 12 nodes of each zone.

Change: the time counts from the start of the process, members are taken over with the first read, and groups for the same node share one message. Nodes register their processor time; the largest of each zone call shards for others, three of them for other zones.

Ruled out: fewer watchers in general. Three have to remain when two nodes are lost at once.

--- a/src/geraniumstair/forward/__init__.py
+++ b/src/geraniumstair/forward/__init__.py
@@ -13,7 +13,9 @@
 from geraniumstair.forward._call import PreparedRequest
 from geraniumstair.forward._call import Reply
 from geraniumstair.forward._delegation import Delegation
-from geraniumstair.forward._delegation import select_delegation_nodes
+from geraniumstair.forward._delegation_nodes import NodeInfo
+from geraniumstair.forward._delegation_nodes import select_delegation_peers
+from geraniumstair.forward._delegation_nodes import select_inter_zone_nodes
 from geraniumstair.forward._endpoints import EndpointPool
 from geraniumstair.forward._endpoints import PoolSettings
 from geraniumstair.forward._forwarder import Forwarder
@@ -46,6 +48,7 @@
     "Link",
     "LinkFactory",
     "Margins",
+    "NodeInfo",
     "Outcome",
     "PartsServer",
     "PoolSettings",
@@ -59,5 +62,6 @@
     "SingleResult",
     "TcpLinkFactory",
     "merge_greatest_records",
-    "select_delegation_nodes",
+    "select_delegation_peers",
+    "select_inter_zone_nodes",
 ]
--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -7,7 +7,8 @@
 A search of very many shards takes long on one node, and a site with many nodes
 does not have enough connections for every pair of node and endpoint. So the
 shards are divided into groups. Each group is called through the same few nodes,
-whose connections stay in use.
+whose connections stay in use. Groups for the same node go in one message,
+because each message costs both ends processor time and bytes.
 
 A search may run twice, so the delegating node calls the shards itself if the
 other node fails.
@@ -27,13 +28,13 @@
 
 import result
 import trio
-import xxhash
 
 from geraniumstair import _struct
 from geraniumstair import peers
 from geraniumstair import routing
 from geraniumstair._generated import messages
 from geraniumstair.forward import _call
+from geraniumstair.forward import _delegation_nodes
 from geraniumstair.forward import _endpoints
 
 _LOG = logging.getLogger(__name__)
@@ -41,8 +42,6 @@
 # extra hop.
 MIN_GROUP_SHARDS = 3
 GROUP_SHARDS = 10
-# Nodes of an availability zone that call shards for other nodes.
-GROUP_NODES_PER_ZONE = 12
 # The groups of a route are recomputed after this time.
 PLAN_TTL_S = 0.1
 # A node that failed gets no requests for this time, which doubles with each
@@ -185,19 +184,26 @@
         self._network = network
         self._routes = routes
         self._rng = rng
-        self._zones: Mapping[str, str] = {}
+        self._nodes: Mapping[str, _delegation_nodes.NodeInfo] = {}
         self._avoid_until_s: dict[str, float] = {}
         self._avoid_s: dict[str, float] = {}
         self._pending_counts: dict[str, int] = {}
         self._latency_ms: dict[str, float] = {}
         self._plans: dict[str, tuple[float, list[_ZoneGroup]]] = {}
+        # By zone, the nodes that call shards of that zone for this node.
         self._delegation_nodes: dict[str, list[str]] = {}
         self._parts_ids = itertools.count(1)
 
-    def set_zones(self, zones: Mapping[str, str]) -> None:
-        """Sets the availability zone of each node."""
-        self._zones = dict(zones)
-        self._delegation_nodes = select_delegation_nodes(zones)
+    def set_nodes(
+        self, nodes: Mapping[str, _delegation_nodes.NodeInfo]
+    ) -> None:
+        """Sets the nodes of the site, by their ids."""
+        self._nodes = dict(nodes)
+        own = _delegation_nodes.select_delegation_nodes(nodes)
+        self._delegation_nodes = {
+            **_delegation_nodes.select_inter_zone_nodes(nodes),
+            self._zone: own.get(self._zone, []),
+        }
         self._plans.clear()
 
     def plan_groups(self, route: routing.Route) -> list[ShardGroup]:
@@ -210,15 +216,18 @@
         # The connected nodes are read once for all groups: a large search has
         # dozens of groups, and a large site many peers.
         connected = self._network.connected_nodes()
-        groups = []
+        shards_by_node: dict[str, list[str]] = {}
         for group in cached[1]:
             if group.key:
                 node_id = self._choose_by_key(group, connected, now_s)
             else:
                 node_id = self._choose_in_zone(group.zone, connected, now_s)
             if node_id is not None and node_id != self._node_id:
-                groups.append(ShardGroup(node_id, tuple(group.shards)))
-        return groups
+                shards_by_node.setdefault(node_id, []).extend(group.shards)
+        return [
+            ShardGroup(node_id, tuple(shards))
+            for node_id, shards in shards_by_node.items()
+        ]
 
     def start(
         self,
@@ -310,8 +319,11 @@
         self, group: "_ZoneGroup", connected: Set[str], now_s: float
     ) -> str | None:
         """Returns the first usable node of a ranking that all nodes share."""
-        nodes = self._delegation_nodes.get(group.zone, [])
-        for node_id in _rank_nodes(nodes, group.key):
+        node_ids = self._delegation_nodes.get(group.zone, [])
+        ranked = _delegation_nodes.rank_by_weight(
+            node_ids, group.key, self._nodes
+        )
+        for node_id in ranked:
             if node_id == self._node_id:
                 return node_id
             if node_id in connected and self._is_usable(node_id, now_s):
@@ -328,7 +340,8 @@
     ) -> str | None:
         best, best_cost = None, math.inf
         for node_id in connected:
-            if self._zones.get(node_id) != zone:
+            info = self._nodes.get(node_id)
+            if info is None or info.availability_zone != zone:
                 continue
             if not self._is_usable(node_id, now_s):
                 continue
@@ -347,17 +360,19 @@
                 _ZoneGroup(zone, "", zone_shards)
                 for zone, zone_shards in by_zone
             ]
-        local = [s for s in shards if self._zone in zones_of[s]]
-        groups = []
-        for zone, zone_shards in [(self._zone, local), *by_zone]:
-            wanted = set(zone_shards)
-            # Groups are cut by position in the route, so that all nodes form
-            # the same groups, whichever endpoints they can use.
-            for start in range(0, len(shards), GROUP_SHARDS):
-                block = shards[start : start + GROUP_SHARDS]
-                chosen = [s for s in block if s in wanted]
-                if chosen:
-                    groups.append(_ZoneGroup(zone, block[0], chosen))
+        # Each message to another zone has a cost in bytes, so the shards there
+        # form one group. The key spreads the nodes of this zone.
+        groups = [
+            _ZoneGroup(zone, self._node_id, zone_shards)
+            for zone, zone_shards in by_zone
+        ]
+        # Groups in the own zone are cut by position in the route, so that all
+        # nodes form the same groups, whichever endpoints they can use.
+        for start in range(0, len(shards), GROUP_SHARDS):
+            block = shards[start : start + GROUP_SHARDS]
+            local = [s for s in block if self._zone in zones_of[s]]
+            if local:
+                groups.append(_ZoneGroup(self._zone, block[0], local))
         return groups
 
     def _group_by_zone(
@@ -371,7 +386,8 @@
         remaining = [
             s for s, zones in zones_of.items() if self._zone not in zones
         ]
-        zones = set(self._zones.values()) - {self._zone, ""}
+        zones = {info.availability_zone for info in self._nodes.values()}
+        zones -= {self._zone, ""}
         groups = []
         while len(remaining) >= MIN_GROUP_SHARDS and zones:
             covered = {
@@ -406,28 +422,6 @@
     shards: list[str]
 
 
-def _rank_nodes(nodes: Sequence[str], key: str) -> list[str]:
-    return sorted(
-        nodes, key=lambda n: xxhash.xxh64_intdigest(f"{key}/{n}".encode())
-    )
-
-
-def select_delegation_nodes(zones: Mapping[str, str]) -> dict[str, list[str]]:
-    """Returns the nodes that call grouped shards for other nodes, by zone.
-
-    Args:
-        zones: Availability zone of each node.
-    """
-    by_zone: dict[str, list[str]] = {}
-    for node_id, zone in zones.items():
-        by_zone.setdefault(zone, []).append(node_id)
-    return {
-        zone: _rank_nodes(nodes, "group")[:GROUP_NODES_PER_ZONE]
-        for zone, nodes in by_zone.items()
-        if zone
-    }
-
-
 def _encode_request(
     request: _call.CallerRequest,
     pending: PendingGroup,
--- /dev/null
+++ b/src/geraniumstair/forward/_delegation_nodes.py
@@ -0,0 +1,121 @@
+"""Selects the nodes that call shards on behalf of other nodes.
+
+All nodes compute the same selection from the same registrations, so the
+connections of the selected nodes stay in use.
+"""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import math
+
+import xxhash
+
+# Processor time that the selected nodes of a zone have together, in cores. The
+# calls of several hundred searches a second share it.
+CORES_PER_ZONE = 6.0
+# Limits on the number of selected nodes of a zone. With three, a zone keeps one
+# if two are lost at once.
+MIN_NODES_PER_ZONE = 3
+MAX_NODES_PER_ZONE = 12
+# Selected nodes of a zone that are called from other zones. Every node of the
+# site keeps streams to them.
+INTER_ZONE_NODES = 3
+_HASH_RANGE = 2.0**64
+_MIN_CORES = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeInfo:
+    """What other nodes know about a node.
+
+    Attributes:
+        availability_zone: Availability zone of the node; empty if unknown.
+        processor_cores: Processor time that the node may use, in cores.
+    """
+
+    availability_zone: str
+    processor_cores: float = 1.0
+
+
+def select_delegation_nodes(
+    nodes: Mapping[str, NodeInfo],
+) -> dict[str, list[str]]:
+    """Returns the nodes that call shards for other nodes, by zone.
+
+    The nodes with the most processor time come first. One of them sends the
+    calls of a large group in a fraction of the time that a small node takes.
+
+    Args:
+        nodes: All nodes of the site by their ids.
+    """
+    by_zone: dict[str, list[str]] = {}
+    for node_id, info in nodes.items():
+        if info.availability_zone:
+            by_zone.setdefault(info.availability_zone, []).append(node_id)
+    return {
+        zone: _select_largest(node_ids, nodes)
+        for zone, node_ids in by_zone.items()
+    }
+
+
+def _select_largest(
+    node_ids: Sequence[str], nodes: Mapping[str, NodeInfo]
+) -> list[str]:
+    ranked = sorted(
+        node_ids, key=lambda n: (-nodes[n].processor_cores, _hash("group", n))
+    )
+    selected: list[str] = []
+    cores = 0.0
+    for node_id in ranked[:MAX_NODES_PER_ZONE]:
+        if len(selected) >= MIN_NODES_PER_ZONE and cores >= CORES_PER_ZONE:
+            break
+        selected.append(node_id)
+        cores += nodes[node_id].processor_cores
+    return selected
+
+
+def select_inter_zone_nodes(
+    nodes: Mapping[str, NodeInfo],
+) -> dict[str, list[str]]:
+    """Returns the nodes that nodes of other zones call, by zone."""
+    return {
+        zone: node_ids[:INTER_ZONE_NODES]
+        for zone, node_ids in select_delegation_nodes(nodes).items()
+    }
+
+
+def select_delegation_peers(
+    own_zone: str, nodes: Mapping[str, NodeInfo]
+) -> frozenset[str]:
+    """Returns the nodes to which a node of a zone keeps streams for its calls.
+
+    Args:
+        own_zone: Availability zone of the node.
+        nodes: All nodes of the site by their ids.
+    """
+    selected = set(select_delegation_nodes(nodes).get(own_zone, ()))
+    for node_ids in select_inter_zone_nodes(nodes).values():
+        selected.update(node_ids)
+    return frozenset(selected)
+
+
+def rank_by_weight(
+    node_ids: Sequence[str], key: str, nodes: Mapping[str, NodeInfo]
+) -> list[str]:
+    """Ranks nodes for a key; each comes first in proportion to its cores.
+
+    This is weighted rendezvous hashing: if a node is added or removed, only the
+    keys for which it comes first move.
+    """
+
+    def compute_score(node_id: str) -> float:
+        uniform = (_hash(key, node_id) + 0.5) / _HASH_RANGE
+        cores = max(_MIN_CORES, nodes[node_id].processor_cores)
+        return -math.log(uniform) / cores
+
+    return sorted(node_ids, key=compute_score)
+
+
+def _hash(key: str, node_id: str) -> int:
+    return xxhash.xxh64_intdigest(f"{key}/{node_id}".encode())
--- a/src/geraniumstair/forward/_parts_server.py
+++ b/src/geraniumstair/forward/_parts_server.py
@@ -117,7 +117,11 @@
     outcome: _result.ForwardResult,
     shard_outcomes: Sequence[_shard.ShardOutcome],
 ) -> messages.PartsReply:
-    tried = [sorted(shard.tried) for shard in shard_outcomes]
+    # The sender needs the endpoints of those shards only that it may call.
+    tried = [
+        [] if shard.answered else sorted(shard.tried)
+        for shard in shard_outcomes
+    ]
     if isinstance(outcome, _result.SearchResult):
         return messages.PartsReply(
             declined="",
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -214,7 +214,10 @@
         self._presence = _presence.Presence(
             settings.node_id,
             _presence.Member(
-                settings.peer_listener, settings.availability_zone
+                settings.peer_listener,
+                forward.NodeInfo(
+                    settings.availability_zone, settings.processor_cores
+                ),
             ),
             self._adapters.store,
             self._mirror,
@@ -339,17 +342,18 @@
             "connected": sorted(self._network.connected_nodes()),
         }
 
-    def _set_members(self, zones: Mapping[str, str]) -> None:
-        members = frozenset(zones)
-        self._delegation.set_zones(zones)
+    def _set_members(self, nodes: Mapping[str, forward.NodeInfo]) -> None:
+        members = frozenset(nodes)
+        self._delegation.set_nodes(nodes)
         # Every node keeps streams to these nodes, so evidence reaches them.
         self._rollouts.set_judge_candidates(
             [
                 n
-                for nodes in forward.select_delegation_nodes(zones).values()
-                for n in nodes
+                for node_ids in forward.select_inter_zone_nodes(nodes).values()
+                for n in node_ids
             ]
         )
+        zones = {n: info.availability_zone for n, info in nodes.items()}
         self._gossip.set_neighbours(
             _presence.select_neighbours(self._settings.node_id, zones)
         )
--- a/src/geraniumstair/gateway/_presence.py
+++ b/src/geraniumstair/gateway/_presence.py
@@ -42,11 +42,11 @@
 
     Attributes:
         address: Address at which its peers reach it.
-        availability_zone: Availability zone in which it runs.
+        info: What other nodes need to know about it.
     """
 
     address: peers.PeerAddress
-    availability_zone: str
+    info: forward.NodeInfo
 
 
 class LeaseStore(Protocol):
@@ -128,9 +128,9 @@
         lease_store: The store.
         local_mirror: The mirror of the store.
         network: Streams to peers.
-        on_members_changed: Called when the members change, with the
-            availability zone of each one; it is empty for a member whose
-            registration is unknown.
+        on_members_changed: Called when the members change, with what is known
+            about each one. The availability zone of a member whose
+            registration is unknown is empty.
     """
 
     def __init__(
@@ -140,7 +140,7 @@
         lease_store: LeaseStore,
         local_mirror: mirror.Mirror,
         network: Network,
-        on_members_changed: Callable[[Mapping[str, str]], None],
+        on_members_changed: Callable[[Mapping[str, forward.NodeInfo]], None],
     ) -> None:
         self._node_id = node_id
         self._member = member
@@ -157,8 +157,14 @@
         local_mirror.subscribe(self._on_items_changed)
 
     def _on_items_changed(self, items: Sequence[mirror.MirrorItem]) -> None:
-        if any(item.key.startswith(KEY_PREFIX) for item in items):
+        if not any(item.key.startswith(KEY_PREFIX) for item in items):
+            return
+        if self._registered:
             self._registrations_changed.set()
+        else:
+            # Until a node knows the others, it takes itself for one of the few
+            # that watch the store.
+            self._update_members()
 
     async def run(self) -> None:
         """Maintains the registration and the members until cancelled."""
@@ -205,7 +211,8 @@
             {
                 "address": self._member.address.address,
                 "port": self._member.address.port,
-                "availability_zone": self._member.availability_zone,
+                "availability_zone": self._member.info.availability_zone,
+                "processor_cores": self._member.info.processor_cores,
             }
         )
         put = store.Put(
@@ -244,24 +251,20 @@
             sorted(self._members - members),
         )
         self._members = members
-        zones = dict.fromkeys(members, "")
-        zones |= {n: m.availability_zone for n, m in registered.items()}
-        zones[self._node_id] = self._member.availability_zone
+        infos = dict.fromkeys(members, forward.NodeInfo(""))
+        infos |= {n: m.info for n, m in registered.items()}
+        infos[self._node_id] = self._member.info
+        zones = {n: info.availability_zone for n, info in infos.items()}
         chosen = select_neighbours(
             self._node_id, zones
-        ) | self._list_delegation_nodes(registered)
+        ) | forward.select_delegation_peers(
+            self._member.info.availability_zone,
+            {n: m.info for n, m in registered.items()},
+        )
         self._network.set_peers(
             {n: m.address for n, m in registered.items() if n in chosen}
         )
-        self._on_members_changed(zones)
-
-    def _list_delegation_nodes(
-        self, registered: Mapping[str, Member]
-    ) -> frozenset[str]:
-        """Returns the nodes that call shards on behalf of other nodes."""
-        zones = {n: m.availability_zone for n, m in registered.items()}
-        by_zone = forward.select_delegation_nodes(zones)
-        return frozenset(n for nodes in by_zone.values() for n in nodes)
+        self._on_members_changed(infos)
 
     def _read_registrations(self) -> None:
         if self._read_revision == self._mirror.newest_revision:
@@ -284,6 +287,10 @@
     try:
         fields = json.loads(value)
         address = peers.PeerAddress(str(fields["address"]), int(fields["port"]))
-        return Member(address, str(fields.get("availability_zone", "")))
+        info = forward.NodeInfo(
+            str(fields.get("availability_zone", "")),
+            float(fields.get("processor_cores", 1.0)),
+        )
+        return Member(address, info)
     except (ValueError, TypeError, KeyError):
         return None
--- a/src/geraniumstair/mirror/_watcher_selection.py
+++ b/src/geraniumstair/mirror/_watcher_selection.py
@@ -43,7 +43,9 @@
     def __init__(self, node_id: str, clock: Callable[[], float]) -> None:
         self._node_id = node_id
         self._clock = clock
-        self._watch_answered_s = -TAKEOVER_TIMEOUT_S
+        # A node that has just started has had no time to hear of a watch, so it
+        # must not conclude that nobody watches.
+        self._watch_answered_s = clock()
         self._watch_until_s = 0.0
         self._members: frozenset[str] = frozenset([node_id])
 
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -2,7 +2,9 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
+from collections.abc import Set
 import dataclasses
 import json
 import random
@@ -15,6 +17,7 @@
 from geraniumstair import discovery
 from geraniumstair import endpoint_http
 from geraniumstair import forward
+from geraniumstair import gateway
 from geraniumstair import mirror
 from geraniumstair import peers
 from geraniumstair import routing
@@ -146,6 +149,7 @@
         delay_s: Time until the reply.
         reply: The reply; None for silence.
         connects: Connections succeed.
+        connect_s: Time until a connection is open.
     """
 
     delay_s: float = 0.01
@@ -153,6 +157,7 @@
         default_factory=lambda: endpoint_reply(signature=b"")
     )
     connects: bool = True
+    connect_s: float = 0.0
 
     async def work(self, closed: trio.Event) -> bool:
         """Processes a call; False if its connection closed before the end."""
@@ -272,6 +277,7 @@
         """Opens a link."""
         if not self.behaviour(entry.endpoint_id).connects:
             raise ConnectionRefusedError("refused")
+        await trio.sleep(self.behaviour(entry.endpoint_id).connect_s)
         self.connections += 1
         link = FakeLink(self, entry.endpoint_id)
         self.links.append(link)
@@ -344,6 +350,11 @@
         self.pool.apply_registry_changes()
 
 
+def node_infos(**zones: str) -> dict[str, forward.NodeInfo]:
+    """Returns nodes of one core by their ids, with their zones."""
+    return {n: forward.NodeInfo(zone) for n, zone in zones.items()}
+
+
 class FakeStore:
     """An in-memory store that can be made unavailable."""
 
@@ -573,3 +584,181 @@
             return False
 
         return result.Ok(withdraw)
+
+
+class SiteStore(FakeStore):
+    """The store of a whole site: counts calls, takes time, and may refuse.
+
+    Attributes:
+        calls: Calls by kind; pages of a read are counted one by one.
+        delay_s: Time of each call.
+        refused_nodes: Nodes whose calls are refused.
+    """
+
+    PAGE_ITEMS = 500
+
+    def __init__(self, delay_s: float = 0.004) -> None:
+        super().__init__()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.delay_s = delay_s
+        self.refused_nodes: frozenset[str] = frozenset()
+
+    def access(self, node_id: str) -> "SiteStoreAccess":
+        """Returns the store as one node calls it."""
+        return SiteStoreAccess(self, node_id)
+
+
+class SiteStoreAccess:
+    """One node's calls to a `SiteStore`."""
+
+    def __init__(self, site_store: SiteStore, node_id: str) -> None:
+        self._store = site_store
+        self._node_id = node_id
+
+    async def _start_call(self, kind: str) -> bool:
+        self._store.calls[kind] += 1
+        await trio.sleep(self._store.delay_s)
+        return not (
+            self._store.down or self._node_id in self._store.refused_nodes
+        )
+
+    async def read_all(self) -> Any:
+        """Returns all items; each page is one call."""
+        pages = -(-len(self._store.items) // SiteStore.PAGE_ITEMS)
+        for _ in range(max(1, pages)):
+            if not await self._start_call("range"):
+                return _build_refused()
+        return await self._store.read_all()
+
+    async def wait_for_changes(self, after: int, wait_ms: int) -> Any:
+        """Waits for changes."""
+        if not await self._start_call("watch"):
+            return _build_refused()
+        return await self._store.wait_for_changes(after, wait_ms)
+
+    async def grant_lease(self, ttl_s: int) -> Any:
+        """Creates a lease."""
+        if not await self._start_call("lease"):
+            return _build_refused()
+        return result.Ok(1)
+
+    async def keep_alive(self, lease_id: int) -> Any:
+        """Renews a lease."""
+        if not await self._start_call("renewal"):
+            return _build_refused()
+        return result.Ok(True)
+
+    async def commit(self, transaction: store.Transaction) -> Any:
+        """Writes keys."""
+        if not await self._start_call("txn"):
+            return _build_refused()
+        for put in transaction.puts:
+            self._store.put(put.key, put.value)
+        return result.Ok(store.CommitOutcome(True, self._store.revision))
+
+    async def revoke_lease(self, lease_id: int) -> Any:
+        """Ends a lease."""
+        await self._start_call("revoke")
+        return result.Ok(None)
+
+
+def _build_refused() -> Any:
+    return result.Err(store.StoreFailure(store.Effect.NONE, "refused"))
+
+
+class StreamNetwork(FakeNetwork):
+    """Has streams only to the peers that either end has chosen."""
+
+    def __init__(
+        self,
+        node_id: str,
+        nodes: "dict[str, FakeNetwork]",
+        seeds: Sequence[str],
+    ) -> None:
+        super().__init__(node_id, nodes)
+        self._chosen: set[str] = set()
+        self._streams: frozenset[str] = frozenset()
+        self._open_streams({*seeds} - {node_id})
+        for other in nodes.values():
+            if isinstance(other, StreamNetwork) and node_id in other._chosen:
+                other._add_stream(self)
+
+    def set_peers(self, addresses: Mapping[str, peers.PeerAddress]) -> None:
+        """Opens streams; those to earlier peers stay open."""
+        self._open_streams(addresses.keys() - self._chosen - {self.node_id})
+
+    def _open_streams(self, node_ids: Set[str]) -> None:
+        self._chosen |= node_ids
+        for node_id in node_ids:
+            other = self._nodes.get(node_id)
+            if isinstance(other, StreamNetwork):
+                self._add_stream(other)
+
+    def _add_stream(self, other: "StreamNetwork") -> None:
+        self._streams |= {other.node_id}
+        other._streams |= {self.node_id}
+
+    def connected_nodes(self) -> frozenset[str]:
+        """Returns the nodes with a stream to this one."""
+        return self._streams
+
+
+class StartingSite:
+    """Nodes that start within a second of each other and find each other.
+
+    Args:
+        nursery: Runs the nodes.
+        site_store: The store of the site.
+        count: Number of nodes, in five availability zones.
+        rng: Start times.
+    """
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        site_store: SiteStore,
+        count: int,
+        rng: random.Random,
+    ) -> None:
+        self.names = [f"n{i}" for i in range(count)]
+        self.mirrors: dict[str, mirror.Mirror] = {}
+        self.members: dict[str, frozenset[str]] = {}
+        self.networks: dict[str, FakeNetwork] = {}
+        self._store = site_store
+        for i, name in enumerate(self.names):
+            nursery.start_soon(
+                self._run_node, name, f"z{i % 5}", rng.uniform(0.4, 1.4)
+            )
+
+    async def _run_node(self, name: str, zone: str, start_s: float) -> None:
+        await trio.sleep(start_s)
+        local_mirror = self.mirrors[name] = mirror.Mirror()
+        network = StreamNetwork(name, self.networks, self.names[:3])
+        # The system's clock does not start at 0 either.
+        selection = mirror.WatcherSelection(
+            name, lambda: trio.current_time() + 50_000
+        )
+        access = self._store.access(name)
+        watcher = mirror.StoreWatcher(access, local_mirror, selection)
+        gossip = mirror.MirrorGossip(network, local_mirror, watcher, selection)
+
+        def set_members(nodes: Mapping[str, forward.NodeInfo]) -> None:
+            zones = {n: info.availability_zone for n, info in nodes.items()}
+            self.members[name] = frozenset(nodes)
+            gossip.set_neighbours(gateway.select_neighbours(name, zones))
+            selection.set_members(frozenset(nodes))
+
+        presence = gateway.Presence(
+            name,
+            gateway.Member(
+                peers.PeerAddress("10.0.0.1", 1), forward.NodeInfo(zone)
+            ),
+            access,
+            local_mirror,
+            network,
+            set_members,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watcher.run)
+            nursery.start_soon(gossip.run)
+            nursery.start_soon(presence.run)
--- a/tests/test_forward_delegation.py
+++ b/tests/test_forward_delegation.py
@@ -67,7 +67,7 @@
             self.local_node,
             random.Random(1),
         )
-        self.delegation.set_zones({"n1": "a", "n2": "b"})
+        self.delegation.set_nodes(builders.node_infos(n1="a", n2="b"))
         self.forwarder = forward.Forwarder(
             self.local.pool,
             self.local.budget,
@@ -179,7 +179,7 @@
                 site.local_node,
                 random.Random(1),
             )
-            delegation.set_zones({"n1": "a", "n2": "a"})
+            delegation.set_nodes(builders.node_infos(n1="a", n2="a"))
             groups = delegation.plan_groups(route)
             self.assertTrue(groups)
             self.assertEqual(network.connected_calls, 1)
@@ -370,3 +370,66 @@
             self.assertEqual(site.remote.site.sent, [])
 
         _run_on_virtual_clock(test)
+
+    def test_a_call_of_a_silent_node_may_have_run(self) -> None:
+        # Without retry budget, the caller was told that nothing had run,
+        # although the other node had sent all calls and only its reply was
+        # lost.
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery, min_coverage=0.9)
+            site.local.budget.set_limits(forward.BudgetLimits(0.0, 10.0, 0.0))
+            for i in range(8):
+                while site.local.budget.try_consume(f"s{i}"):
+                    pass
+            for shard in (0, 1):
+                for copy in "xy":
+                    behaviour = site.local.site.behaviour(f"{copy}{shard}")
+                    behaviour.connects = False
+
+            async def lose_replies() -> None:
+                await trio.sleep(0.005)
+                site.remote_network.drops_replies = True
+
+            nursery.start_soon(lose_replies)
+            outcome = await site.search()
+            assert isinstance(outcome, forward.Refused)
+            self.assertEqual(len(site.remote.site.sent), 6)
+            self.assertFalse(outcome.not_run)
+
+        _run_on_virtual_clock(test)
+
+    def test_another_zone_gets_one_message_for_a_large_search(self) -> None:
+        # On a day of 195 nodes, a search sent 25 messages to other zones.
+        async def test(nursery: trio.Nursery) -> None:
+            names = [f"s{i}" for i in range(60)]
+            route = builders.search_route(names)
+            entries = [
+                builders.endpoint_entry(
+                    f"x{i}", service=n, availability_zone="ab"[i % 2]
+                )
+                for i, n in enumerate(names)
+            ]
+            site = _Site(nursery)
+            fixture = builders.ForwarderFixture(nursery, entries, [route])
+            nodes = {f"a{i}": "a" for i in range(1, 5)}
+            nodes |= {f"b{i}": "b" for i in range(1, 5)}
+            network = _CountingNetwork("n1", site.networks)
+            for name in nodes:
+                builders.DirectNetwork(name, site.networks)
+            delegation = forward.Delegation(
+                "n1",
+                "a",
+                fixture.pool,
+                network,
+                site.local_node,
+                random.Random(1),
+            )
+            delegation.set_nodes(builders.node_infos(n1="a", **nodes))
+            groups = delegation.plan_groups(route)
+            shards = [s for group in groups for s in group.shards]
+            self.assertEqual(len(shards), len(set(shards)))
+            asked = [group.node_id for group in groups]
+            self.assertEqual(len(asked), len(set(asked)))
+            self.assertEqual(sum(nodes[n] == "b" for n in asked), 1)
+
+        _run_on_virtual_clock(test)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -214,10 +214,13 @@
             local_mirror = mirror.Mirror()
             leases = _Leases(local_mirror)
             network = _Network()
-            seen_members: list[dict[str, str]] = []
+            seen_members: list[dict[str, forward.NodeInfo]] = []
             presence = gateway.Presence(
                 "n1",
-                gateway.Member(peers.PeerAddress("10.0.0.1", 3), "z1"),
+                gateway.Member(
+                    peers.PeerAddress("10.0.0.1", 3),
+                    forward.NodeInfo("z1", 0.5),
+                ),
                 leases,
                 local_mirror,
                 network,
@@ -228,17 +231,30 @@
             other = "geraniumstair/nodes/n2"
             leases.write(
                 other,
-                b'{"address":"10.0.0.2","port":3,"availability_zone":"z2"}',
+                b'{"address":"10.0.0.2","port":3,"availability_zone":"z2",'
+                b'"processor_cores":2.0}',
             )
             leases.write("geraniumstair/nodes/n3", b"junk")
             network.connected_node_ids = frozenset(["n2"])
             await trio.sleep(1)
-            self.assertEqual(seen_members[-1], {"n1": "z1", "n2": "z2"})
+            self.assertEqual(
+                seen_members[-1],
+                {
+                    "n1": forward.NodeInfo("z1", 0.5),
+                    "n2": forward.NodeInfo("z2", 2.0),
+                },
+            )
             self.assertEqual(network.peers["n2"].port, 3)
             leases.write(other, None)
             leases.write("geraniumstair/nodes/n1", None)
             await trio.sleep(10)
-            self.assertEqual(seen_members[-1], {"n1": "z1", "n2": ""})
+            self.assertEqual(
+                seen_members[-1],
+                {
+                    "n1": forward.NodeInfo("z1", 0.5),
+                    "n2": forward.NodeInfo(""),
+                },
+            )
             self.assertEqual(leases.commit_count, 2)
 
         _run(test)
