Bound responses without end, tell unsent calls from run ones, linger at stop

Causes, each with a test that failed on the earlier code: - Trailers, chunk extensions and other framing were taken without limit, and 225 connections could buffer 16 MiB each. Trailers no longer replace headers. - A search that timed out while its calls waited for connections was answered 504, although nothing had been sent: now 503. - A search whose calls another node had sent was called "not run" if the reply was lost and no retry budget was left: now 502 or 504. - Hypercorn closes idle and just accepted connections at the moment at which the listener closes, so a request in transit got no answer.

Ruled out for the stop: the order of the events in the gateway, which marks itself as not ready 2.7 s before.

--- a/src/geraniumstair/endpoint_http/__init__.py
+++ b/src/geraniumstair/endpoint_http/__init__.py
@@ -5,6 +5,7 @@
 `dispatch` and `forward`.
 """
 
+from geraniumstair.endpoint_http._buffer_limit import BufferLimit
 from geraniumstair.endpoint_http._connect import connect
 from geraniumstair.endpoint_http._latency import LatencyWindow
 from geraniumstair.endpoint_http._response import InvalidResponse
@@ -12,6 +13,7 @@
 from geraniumstair.endpoint_http._response import ResponseParser
 
 __all__ = [
+    "BufferLimit",
     "InvalidResponse",
     "LatencyWindow",
     "Response",
--- a/src/geraniumstair/endpoint_http/_response.py
+++ b/src/geraniumstair/endpoint_http/_response.py
@@ -2,7 +2,10 @@
 
 import httptools
 
-# Responses with larger headers are invalid.
+from geraniumstair.endpoint_http import _buffer_limit
+
+# Responses with larger headers are invalid. The same limit holds for trailers,
+# and for chunk extensions and other framing between two parts of a body.
 MAX_HEADER_BYTES = 32 * 1024
 _FIRST_FINAL_STATUS = 200
 
@@ -37,24 +40,35 @@
 
     Args:
         max_body_bytes: Larger bodies raise `InvalidResponse`.
+        buffer_limit: Limits the bodies of all parsers of a process together.
 
     Attributes:
         reusable: False if the connection must be closed after the response.
     """
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        max_body_bytes: int,
+        buffer_limit: _buffer_limit.BufferLimit = _buffer_limit.PROCESS_LIMIT,
+    ) -> None:
         self._max_body_bytes = max_body_bytes
+        self._buffer_limit = buffer_limit
         self._parser = httptools.HttpResponseParser(self)
         self.reusable = True
         self._complete_responses: list[Response] = []
         self._unfinished_bytes = 0
+        self._dropped = False
         self._reset()
 
     def _reset(self) -> None:
         self._fields: list[tuple[bytes, bytes]] = []
         self._chunks: list[bytes] = []
         self._body_bytes = 0
+        self._body_grew = False
+        self._framing_bytes = 0
+        self._trailer_bytes = 0
         self._in_body = False
+        self._buffer_limit.release(self)
 
     @property
     def has_partial_response(self) -> bool:
@@ -92,7 +106,10 @@
             InvalidResponse: The bytes begin with no valid response, or a part
                 of it is too large.
         """
+        if self._dropped:
+            raise InvalidResponse("too many bytes of responses are buffered")
         self._unfinished_bytes += len(data)
+        self._body_grew = False
         try:
             self._parser.feed_data(data)
         except (
@@ -105,11 +122,31 @@
                 if isinstance(cause, InvalidResponse):
                     raise cause from None
                 raise InvalidResponse(str(error)) from error
-        if not self._in_body and self._unfinished_bytes > MAX_HEADER_BYTES:
-            raise InvalidResponse("the headers are too large")
+        self._check_framing(len(data))
         responses, self._complete_responses = self._complete_responses, []
         return responses
 
+    def _check_framing(self, received_bytes: int) -> None:
+        if not self._in_body:
+            if self._unfinished_bytes > MAX_HEADER_BYTES:
+                raise InvalidResponse("the headers are too large")
+        elif self._body_grew:
+            self._framing_bytes = 0
+        else:
+            self._framing_bytes += received_bytes
+            if self._framing_bytes > MAX_HEADER_BYTES:
+                raise InvalidResponse("the chunk framing is too large")
+
+    def drop(self) -> None:
+        """Discards the body received so far; the next bytes are refused."""
+        self._chunks.clear()
+        self._dropped = True
+
+    def close(self) -> None:
+        """Frees what is buffered; call it when the connection has closed."""
+        self._chunks.clear()
+        self._buffer_limit.release(self)
+
     def finish(self) -> Response | None:
         """Returns the response that the end of the connection completes.
 
@@ -117,7 +154,7 @@
         that is incomplete by then is truncated, and None is returned.
         """
         self.reusable = False
-        if not self._in_body:
+        if not self._in_body or self._dropped:
             return None
         names = {name.lower() for name, _ in self._fields}
         if b"content-length" in names or b"transfer-encoding" in names:
@@ -143,8 +180,13 @@
             self._unfinished_bytes = 1
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called when a header is complete."""
-        self._fields.append((name, value))
+        """Called when a header or a trailer is complete; ignores trailers."""
+        if not self._in_body:
+            self._fields.append((name, value))
+            return
+        self._trailer_bytes += len(name) + len(value)
+        if self._trailer_bytes > MAX_HEADER_BYTES:
+            raise InvalidResponse("the trailers are too large")
 
     def on_headers_complete(self) -> None:
         """Called when all headers are complete."""
@@ -155,7 +197,11 @@
         self._body_bytes += len(body)
         if self._body_bytes > self._max_body_bytes:
             raise InvalidResponse("the response is too large")
+        self._body_grew = True
         self._chunks.append(body)
+        self._buffer_limit.record(self, self._body_bytes)
+        if self._dropped:
+            raise InvalidResponse("too many bytes of responses are buffered")
 
     def on_message_complete(self) -> None:
         """Called when a response is complete; skips informational ones."""
--- a/src/geraniumstair/forward/_link.py
+++ b/src/geraniumstair/forward/_link.py
@@ -158,6 +158,7 @@
                 nursery.cancel_scope.cancel()
         finally:
             self.close()
+            self._parser.close()
             self._report_lost_call(owner)
             owner.on_link_closed(self)
 
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -179,6 +179,9 @@
         """Calls a shard that another node did not call successfully."""
         shard.failure = reply.failure or "the other node returned no part"
         shard.delegated = False
+        shard.may_have_run_remotely = (
+            reply.may_have_run and reply.tried.get(shard.service) != frozenset()
+        )
         budget = self._context.budget
         now_s = trio.current_time()
         if not reply.may_have_run:
@@ -424,7 +427,9 @@
         return self._build_refusal(len(parts))
 
     def _build_refusal(self, part_count: int) -> _result.Refused:
-        may_have_run = any(shard.runs for shard in self._shards.values())
+        may_have_run = any(
+            shard.may_have_run for shard in self._shards.values()
+        )
         timed_out = trio.current_time() >= self._deadlines.final_s
         reasons = _result.RefusalReason
         missing = next(s for s in self._shards.values() if s.part is None)
--- a/src/geraniumstair/forward/_shard.py
+++ b/src/geraniumstair/forward/_shard.py
@@ -22,12 +22,15 @@
         failed: No part will arrive.
         failure: Why the last call failed, for the log.
         delegated: Another node calls this shard.
+        may_have_run_remotely: The call of another node failed, but its request
+            may have reached an endpoint.
     """
 
     __slots__ = (
         "delegated",
         "failed",
         "failure",
+        "may_have_run_remotely",
         "open_calls",
         "part",
         "ran_on",
@@ -50,6 +53,18 @@
         self.failed = False
         self.failure = ""
         self.delegated = False
+        self.may_have_run_remotely = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """True if an endpoint has run the request, or may still run it.
+
+        A call that waits for a connection is dropped when the search ends.
+        """
+        unsent = sum(not call.sent for call in self.open_calls)
+        return (
+            self.delegated or self.may_have_run_remotely or self.runs > unsent
+        )
 
     @property
     def pending(self) -> bool:
--- a/src/geraniumstair/listeners/_listeners.py
+++ b/src/geraniumstair/listeners/_listeners.py
@@ -7,6 +7,8 @@
 
 import hypercorn
 import hypercorn.trio
+import hypercorn.trio.run
+import hypercorn.trio.tcp_server
 import trio
 
 # Hypercorn closes a connection after this many requests. Its default of 1,000
@@ -14,9 +16,34 @@
 KEEP_ALIVE_MAX_REQUESTS = 10_000_000
 KEEP_ALIVE_TIMEOUT_S = 75
 GRACEFUL_TIMEOUT_S = 30.0
+# Time after the listener has closed in which idle connections stay open. A
+# caller may have connected, or have sent a request on an idle connection, just
+# before.
+LINGER_S = 0.3
 BACKLOG = 1024
 
 
+class _LingeringTcpServer(hypercorn.trio.tcp_server.TCPServer):
+    """A connection that still serves a request shortly after the shutdown.
+
+    Hypercorn closes idle connections at the moment at which the listener
+    closes, also those that were accepted just before and whose first request is
+    in transit.
+    """
+
+    async def _idle_timeout(self) -> None:
+        with trio.move_on_after(self.config.keep_alive_timeout):
+            await self.context.terminated.wait()
+            # A request that arrives cancels this task.
+            await trio.sleep(LINGER_S)
+        with trio.CancelScope(shield=True):
+            await self._initiate_server_close()
+
+
+# Hypercorn has no setting for the class of its connections.
+hypercorn.trio.run.TCPServer = _LingeringTcpServer  # type: ignore[misc]
+
+
 def _build_config(
     address: str, port: int, max_body_bytes: int, graceful_timeout_s: float
 ) -> hypercorn.Config:
--- a/tests/test_endpoint_http_response.py
+++ b/tests/test_endpoint_http_response.py
@@ -66,3 +66,91 @@
                 parser = endpoint_http.ResponseParser(100)
                 with self.assertRaises(endpoint_http.InvalidResponse):
                     parser.feed(data)
+
+
+class _Endless:
+    """Feeds a parser until it refuses; counts the bytes that it accepted."""
+
+    LIMIT_BYTES = 4 * 1024 * 1024
+
+    def __init__(self, parser: endpoint_http.ResponseParser) -> None:
+        self.parser = parser
+        self.accepted_bytes = 0
+
+    def send(self, start: bytes, repeated: bytes, piece_bytes: int) -> None:
+        """Sends a start, then the same bytes again and again, in pieces."""
+        self.parser.parse_all(start)
+        block = repeated * (1 + piece_bytes // len(repeated))
+        while self.accepted_bytes < self.LIMIT_BYTES:
+            self.parser.parse_all(block[:piece_bytes])
+            self.accepted_bytes += piece_bytes
+
+
+class EndlessResponseTest(unittest.TestCase):
+    """Guards against responses without end that fill the node's memory."""
+
+    _CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+    _CASES = {
+        "headers": (b"HTTP/1.1 200 OK\r\n", b"x-a: 1\r\n"),
+        "one header": (b"HTTP/1.1 200 OK\r\nx-a: ", b"x"),
+        "informational": (b"", b"HTTP/1.1 103 E\r\nx-a: 1\r\n\r\n"),
+        "trailers": (_CHUNKED + b"0\r\n", b"x-a: 1\r\n"),
+        "one trailer": (_CHUNKED + b"0\r\nx-a: ", b"x"),
+        "chunk extension": (_CHUNKED + b"4;x=", b"x"),
+        "leading zeros": (_CHUNKED, b"0"),
+    }
+
+    def test_only_a_body_may_be_large(self) -> None:
+        for name, (start, repeated) in self._CASES.items():
+            for piece_bytes in (1, 1000, 65536):
+                with self.subTest(name, piece_bytes=piece_bytes):
+                    if name == "informational" and piece_bytes == 1:
+                        continue  # One byte repeated is no message.
+                    endless = _Endless(endpoint_http.ResponseParser(10**9))
+                    with self.assertRaises(endpoint_http.InvalidResponse):
+                        endless.send(start, repeated, piece_bytes)
+                    self.assertLessEqual(endless.accepted_bytes, 64 * 1024)
+
+    def test_a_body_in_chunks_of_one_byte_is_accepted(self) -> None:
+        parser = endpoint_http.ResponseParser(10**6)
+        body = b"1;a=b\r\nx\r\n" * 20_000 + b"0\r\n\r\n"
+        data = self._CHUNKED + body
+        responses = []
+        for at in range(0, len(data), 4096):
+            responses += parser.parse_all(data[at : at + 4096])
+        self.assertEqual(len(responses[0].body), 20_000)
+
+    def test_trailers_do_not_replace_headers(self) -> None:
+        parser = endpoint_http.ResponseParser(100)
+        head = self._CHUNKED.replace(b"\r\n\r\n", b"\r\nx-a: 1\r\n\r\n")
+        response = parser.feed(head + b"1\r\nx\r\n0\r\nx-a: 2\r\n\r\n")
+        self.assertEqual(response.headers[b"x-a"], b"1")
+
+
+class BufferLimitTest(unittest.TestCase):
+    """Guards against many endless bodies that fill the memory together."""
+
+    _HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n"
+
+    def test_the_largest_body_is_dropped_and_the_others_arrive(self) -> None:
+        limit = endpoint_http.BufferLimit(1500)
+        parsers = [
+            endpoint_http.ResponseParser(10_000, limit) for _ in range(3)
+        ]
+        for parser, size in zip(parsers, (900, 300, 400), strict=True):
+            parser.parse_all(self._HEAD + b"x" * size)
+        self.assertLessEqual(limit.total_bytes, 1500)
+        with self.assertRaises(endpoint_http.InvalidResponse):
+            parsers[0].parse_all(b"x")
+        self.assertIsNone(parsers[0].finish())
+        for parser, size in ((parsers[1], 700), (parsers[2], 600)):
+            (response,) = parser.parse_all(b"x" * size)
+            self.assertEqual(len(response.body), 1000)
+        self.assertEqual(limit.total_bytes, 0)
+
+    def test_a_closed_connection_frees_its_bytes(self) -> None:
+        limit = endpoint_http.BufferLimit(1500)
+        parser = endpoint_http.ResponseParser(10_000, limit)
+        parser.parse_all(self._HEAD + b"x" * 900)
+        parser.close()
+        self.assertEqual(limit.total_bytes, 0)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -210,6 +210,27 @@
 
         _run_on_virtual_clock(test)
 
+    def test_a_search_whose_calls_were_never_sent_has_not_run(self) -> None:
+        # Such searches got 504, after which callers do not retry requests that
+        # may run once only, and which counts against the endpoints.
+        async def test(nursery: trio.Nursery) -> None:
+            fixture = builders.ForwarderFixture(
+                nursery,
+                _two_zone_entries(4),
+                [route := builders.search_route(_shard_names(4))],
+            )
+            for i in range(4):
+                for zone in ("a", "b"):
+                    fixture.site.behaviour(f"{zone}{i}").connect_s = 60.0
+            outcome = await fixture.forwarder.forward(
+                builders.caller_request(remaining_ms=400.0), route
+            )
+            assert isinstance(outcome, forward.Refused)
+            self.assertEqual(fixture.site.sent, [])
+            self.assertTrue(outcome.not_run)
+
+        _run_on_virtual_clock(test)
+
     def test_nothing_is_repeated_without_budget(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             route = builders.search_route(_shard_names(2), min_coverage=0.5)
