Limit the searches in progress by what finished ones show

Cause: nothing limited a node's searches.

Change: a search that has less than 0.65 of its parts at its latency goal lowers the limit of its set of shards to 0.7 of those in progress; searches in time raise it. What is beyond the limit gets 503 at once. Retry-After spreads the callers over the rate at which searches end; callers that return and the most urgent route may use the whole limit, others 0.8 of it.

New: uneven callers, and one slow endpoint of two for a tenth of the shards. The tests of slow and failing endpoints pass unchanged.

--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -5,6 +5,7 @@
 import trio
 
 from geraniumstair import routing
+from geraniumstair.forward import _admission
 from geraniumstair.forward import _budget
 from geraniumstair.forward import _call
 from geraniumstair.forward import _context
@@ -60,7 +61,9 @@
         self._splits: dict[
             tuple[routing.SplitPart, ...], routing.ServiceSplit
         ] = {}
-        self.in_progress_count = 0
+        self._admission = _admission.AdmissionControl(trio.current_time)
+        # Lowest priority number of the routes to each set of shards so far.
+        self._urgent_priorities: dict[tuple[str, ...], int] = {}
 
     async def run(self) -> None:
         """Sweeps the endpoint pool whenever needed, until cancelled."""
@@ -78,31 +81,59 @@
         If the task is cancelled because the caller disconnected, its calls are
         abandoned.
         """
-        self.in_progress_count += 1
+        if not route.is_search:
+            service = self._get_split(route).next_service()
+            single = _single.Single(self._context, request, route, service)
+            return self._report(request, route, await single.run(), single)
+        search = self._create_search(request, route)
+        permit = self._admission.admit(
+            route.shards,
+            preferred=self._is_most_urgent(route) or search.waited_ms > 0,
+        )
+        if not isinstance(permit, _admission.Permit):
+            return self._report(
+                request, route, _build_overload_refusal(permit), search
+            )
+        evidence = _admission.Evidence.UNCLEAR
         try:
-            handler = self._create_handler(request, route)
-            result = await handler.run()
+            result = await search.run()
+            evidence = search.judge()
         finally:
-            self.in_progress_count -= 1
+            self._admission.finish(permit, evidence)
+        return self._report(request, route, result, search)
+
+    def _report(
+        self,
+        request: _call.CallerRequest,
+        route: routing.Route,
+        result: _result.ForwardResult,
+        handler: _search.Search | _single.Single,
+    ) -> _result.ForwardResult:
         _report.report_request(
             self._context.metrics, request, route, result, handler
         )
         return result
 
-    def _create_handler(
+    def _is_most_urgent(self, route: routing.Route) -> bool:
+        """Returns whether no other route of the same shards is more urgent."""
+        urgent = self._urgent_priorities.get(route.shards)
+        if urgent is None or route.priority < urgent:
+            if len(self._urgent_priorities) >= _admission.MAX_SHARD_SETS:
+                self._urgent_priorities.clear()
+            self._urgent_priorities[route.shards] = urgent = route.priority
+        return route.priority <= urgent
+
+    def _create_search(
         self, request: _call.CallerRequest, route: routing.Route
-    ) -> _search.Search | _single.Single:
-        if route.is_search:
-            return _search.Search(
-                self._context,
-                request,
-                route,
-                route.shards,
-                _search.compute_required_parts(route),
-                self._delegation,
-            )
-        service = self._get_split(route).next_service()
-        return _single.Single(self._context, request, route, service)
+    ) -> _search.Search:
+        return _search.Search(
+            self._context,
+            request,
+            route,
+            route.shards,
+            _search.compute_required_parts(route),
+            self._delegation,
+        )
 
     async def gather(
         self,
@@ -119,12 +150,8 @@
             The result, and the outcome of each shard, in order. The answered
             ones are in the order of the signatures.
         """
-        self.in_progress_count += 1
-        try:
-            search = _search.Search(self._context, request, route, shards, 1)
-            return await search.run(), search.list_shard_outcomes()
-        finally:
-            self.in_progress_count -= 1
+        search = _search.Search(self._context, request, route, shards, 1)
+        return await search.run(), search.list_shard_outcomes()
 
     def _get_split(self, route: routing.Route) -> routing.ServiceSplit:
         split = self._splits.get(route.parts)
@@ -134,3 +161,15 @@
             split = routing.ServiceSplit(route.parts)
             self._splits[route.parts] = split
         return split
+
+
+def _build_overload_refusal(retry_after_s: float) -> _result.Refused:
+    return _result.Refused(
+        _result.RefusalReason.OVERLOADED,
+        True,
+        min(
+            max(retry_after_s, _context.MIN_RETRY_AFTER_S),
+            _context.MAX_RETRY_AFTER_S,
+        ),
+        "the endpoints bear no more searches at present",
+    )
--- a/src/geraniumstair/forward/_result.py
+++ b/src/geraniumstair/forward/_result.py
@@ -15,6 +15,7 @@
     NO_ENDPOINT = "no_endpoint"
     TIMEOUT = "timeout"
     ENDPOINT_FAILED = "endpoint_failed"
+    OVERLOADED = "overloaded"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -9,6 +9,7 @@
 import trio
 
 from geraniumstair import routing
+from geraniumstair.forward import _admission
 from geraniumstair.forward import _call
 from geraniumstair.forward import _context
 from geraniumstair.forward import _delegation
@@ -66,21 +67,23 @@
         self._request = request
         self._route = route
         self._prepared = context.dialect.prepare(request)
+        self.waited_ms = context.wait_estimator.estimate_waited_ms(
+            request, route
+        )
         self._deadlines = _timing.compute_deadlines(
-            request,
-            route,
-            context.margins,
-            context.wait_estimator.estimate_waited_ms(request, route),
+            request, route, context.margins, self.waited_ms
         )
         self._shards = {name: _shard.Shard(name) for name in shards}
         self._min_parts = min_parts
         self._delegation = delegation
+        self._result: _result.ForwardResult | None = None
         self._groups: list[_delegation.PendingGroup] = []
         self._check_groups_at_s = math.inf
         self._asked_nodes: list[str] = []
         self.repeats = 0
         self._answered_count = 0
         self._failed_count = 0
+        self._parts_at_goal: int | None = None
         self._hedge_at_s = math.inf
         self._wake = trio.Event()
 
@@ -96,10 +99,19 @@
                     await self._wake.wait()
                 self._wake = trio.Event()
                 self._run_due_actions()
-            return self._build_result()
+            self._result = self._build_result()
+            return self._result
         finally:
             self._abandon_all()
 
+    def judge(self) -> _admission.Evidence:
+        """Returns what the finished search shows about the endpoints' load."""
+        return _admission.judge_search(
+            len(self._shards),
+            self._parts_at_goal,
+            answered=isinstance(self._result, _result.SearchResult),
+        )
+
     def _refuse_unserved(self) -> _result.Refused | None:
         """Refuses at once if too many shards have no endpoint that answers."""
         pool = self._context.pool
@@ -345,6 +357,8 @@
 
     def _run_due_actions(self) -> None:
         now_s = trio.current_time()
+        if self._parts_at_goal is None and now_s >= self._deadlines.goal_s:
+            self._parts_at_goal = self._answered_count
         for shard in self._shards.values():
             if shard.pending and shard.retry_at_s <= now_s:
                 shard.retry_at_s = math.inf
--- a/tests/test_forward_load.py
+++ b/tests/test_forward_load.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
 import random
 import statistics
 import unittest
@@ -43,6 +44,11 @@
 # usually and 179 in a burst.
 BURST_FACTOR = 4
 BURST_S = 8.0
+# Load of each node as a multiple of the mean.
+UNEVEN_SHARES = (3.0, 2.0, 1.0, 0.5, 0.3, 0.1, 0.1)
+# A tenth of the shards has one slow endpoint of two.
+SLOW_SHARDS = 2
+SLOW_FACTOR = 8.0
 # Failures in a row and a second without a reply show that an endpoint is down.
 DETECTION_S = 4.0
 # Searches that may call endpoints which are down. More probes would keep their
@@ -311,9 +317,39 @@
         # answered in time.
         self.assertGreaterEqual(burst.in_time, usual.in_time)
 
+    def test_eight_times_the_usual_load(self) -> None:
+        usual = _simulate_site(SEARCHES_PER_S)
+        burst = _simulate_site(2 * BURST_FACTOR * SEARCHES_PER_S)
+        self.assertGreaterEqual(burst.in_time, usual.in_time)
 
-def _simulate_site(searches_per_s: float) -> _AnswerStats:
-    """Simulates the load of all nodes, whose endpoints have queues."""
+    def test_callers_are_spread_unevenly_over_the_nodes(self) -> None:
+        usual = _simulate_site(SEARCHES_PER_S)
+        burst = _simulate_site(
+            BURST_FACTOR * SEARCHES_PER_S, node_shares=UNEVEN_SHARES
+        )
+        self.assertGreaterEqual(burst.in_time, usual.in_time)
+
+    def test_some_shards_have_one_slow_endpoint_of_two(self) -> None:
+        usual = _simulate_site(SEARCHES_PER_S)
+        burst = _simulate_site(
+            BURST_FACTOR * SEARCHES_PER_S, slow_shards=SLOW_SHARDS
+        )
+        self.assertGreaterEqual(burst.in_time, usual.in_time)
+
+
+def _simulate_site(
+    searches_per_s: float,
+    *,
+    node_shares: Sequence[float] = (1.0,) * NODES,
+    slow_shards: int = 0,
+) -> _AnswerStats:
+    """Simulates the load of all nodes, whose endpoints have queues.
+
+    Args:
+        searches_per_s: Mean of all nodes.
+        node_shares: Load of each node as a multiple of the mean.
+        slow_shards: Shards of which one endpoint is slow.
+    """
     rng = random.Random(2)
     answers = _AnswerStats()
     route, entries = _build_site()
@@ -322,11 +358,16 @@
     def work_s() -> float:
         return rng.gammavariate(WORK_SHAPE, MEAN_WORK_S / WORK_SHAPE)
 
+    def slow_work_s() -> float:
+        return SLOW_FACTOR * work_s()
+
     async def send_searches(
-        fixture: builders.ForwarderFixture, nursery: trio.Nursery
+        fixture: builders.ForwarderFixture,
+        nursery: trio.Nursery,
+        node_share: float,
     ) -> None:
         while trio.current_time() < BURST_S:
-            await trio.sleep(rng.expovariate(searches_per_s))
+            await trio.sleep(rng.expovariate(searches_per_s * node_share))
             nursery.start_soon(_send_search, fixture, route, answers)
 
     async def simulate() -> None:
@@ -335,8 +376,12 @@
             site.behaviours[entry.endpoint_id] = builders.QueueingBehaviour(
                 entry.slots, work_s
             )
+        for entry in entries[: 2 * slow_shards : 2]:
+            site.behaviours[entry.endpoint_id] = builders.QueueingBehaviour(
+                entry.slots, slow_work_s
+            )
         async with trio.open_nursery() as nursery:
-            for node_id in nodes:
+            for node_id, node_share in zip(nodes, node_shares, strict=True):
                 fixture = builders.ForwarderFixture(
                     nursery,
                     entries,
@@ -348,7 +393,7 @@
                     site=site,
                 )
                 fixture.budget.set_node_counter(lambda service: NODES)
-                nursery.start_soon(send_searches, fixture, nursery)
+                nursery.start_soon(send_searches, fixture, nursery, node_share)
             await trio.sleep(BURST_S + 2 * TIMEOUT_S)
             nursery.cancel_scope.cancel()
 
