Keep late copies and deleted keys out of use after a reuse or a restart

Causes, found by going through what operators of similar systems reported: - A second copy of an answer that names no request was taken for the answer to the next call on the connection. A copy is now known by its signature; an unsigned answer without request id on a reused connection counts as lost, because the call may have run. - A node that had just read the store knows no tombstones. Changes that it had requested before from a peer with an older mirror brought back a key that had been deleted: an endpoint that had left was in use again. Changes up to the position at which a mirror is complete are ignored now.

--- a/src/geraniumstair/forward/_call.py
+++ b/src/geraniumstair/forward/_call.py
@@ -45,6 +45,7 @@
         fields: Headers of the answer, in order.
         body: Body of the answer.
         signature: Signature of the endpoint on its answer; empty without one.
+        names_request: The answer states to which request it belongs.
     """
 
     outcome: Outcome
@@ -53,6 +54,7 @@
     fields: Sequence[tuple[bytes, bytes]] = ()
     body: bytes = b""
     signature: bytes = b""
+    names_request: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/geraniumstair/forward/_link.py
+++ b/src/geraniumstair/forward/_link.py
@@ -99,6 +99,8 @@
         self._open = True
         self._idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._idle_since_s = trio.current_time()
+        # Signature of the last answer; None before the first one.
+        self._last_signature: bytes | None = None
         self._unsent = b""
         self._has_unsent = trio.Event()
         self._close_reason = ""
@@ -236,6 +238,17 @@
             # This is a second answer to an earlier call; the answer to this
             # call follows.
             return
+        if not reply.names_request and self._last_signature is not None:
+            if reply.signature and reply.signature == self._last_signature:
+                # A second copy of the last answer.
+                return
+            if not reply.signature:
+                # It may be a second copy as well, so the call may have run.
+                reply = _call.Reply(
+                    _call.Outcome.LOST,
+                    "a response without request id on a reused connection",
+                )
+        self._last_signature = reply.signature
         self.call = None
         idle_s = self._dialect.idle_limit_s(response)
         if idle_s is not None:
--- a/src/geraniumstair/mirror/_mirror.py
+++ b/src/geraniumstair/mirror/_mirror.py
@@ -52,15 +52,18 @@
 
         Args:
             items: All changes after the mirror's position, up to `position`;
-                older ones among them are ignored.
+                older ones among them are ignored. A key that this mirror does
+                not hold may have been deleted since such a change, although no
+                tombstone says so: a complete read returns none.
             position: Revision up to which they are complete.
 
         Returns:
             True if the position has advanced.
         """
-        advanced = position > self.position
-        self.position = max(self.position, position)
-        self._merge(items)
+        complete_until = self.position
+        advanced = position > complete_until
+        self.position = max(complete_until, position)
+        self._merge(i for i in items if i.revision > complete_until)
         return advanced
 
     def replace(self, items: Iterable[MirrorItem], position: int) -> bool:
--- a/src/geraniumstair/platform/_http.py
+++ b/src/geraniumstair/platform/_http.py
@@ -1,5 +1,7 @@
 """HTTP headers and statuses of the platform's callers and endpoints."""
 
+import dataclasses
+
 import result
 
 from geraniumstair import endpoint_http
@@ -190,14 +192,10 @@
         headers = response.headers
         if headers.get(_REQUEST_ID, request_id) != request_id:
             return None
-        status = response.status
-        if status == _MISDIRECTED_STATUS:
-            detail = "the address belongs to another endpoint"
-            return forward.Reply(forward.Outcome.MISDIRECTED, detail, status)
-        if _NOT_RUN in headers:
-            detail = f"the endpoint refused the request with status {status}"
-            return forward.Reply(forward.Outcome.REJECTED, detail, status)
-        return _classify_executed(response)
+        reply = _classify_own(response)
+        if _REQUEST_ID in headers:
+            return reply
+        return dataclasses.replace(reply, names_request=False)
 
     def idle_limit_s(self, response: endpoint_http.Response) -> float | None:
         """Returns how long the connection may stay idle; None if unknown."""
@@ -209,6 +207,17 @@
         return None
 
 
+def _classify_own(response: endpoint_http.Response) -> forward.Reply:
+    status = response.status
+    if status == _MISDIRECTED_STATUS:
+        detail = "the address belongs to another endpoint"
+        return forward.Reply(forward.Outcome.MISDIRECTED, detail, status)
+    if _NOT_RUN in response.headers:
+        detail = f"the endpoint refused the request with status {status}"
+        return forward.Reply(forward.Outcome.REJECTED, detail, status)
+    return _classify_executed(response)
+
+
 def _classify_executed(response: endpoint_http.Response) -> forward.Reply:
     headers = response.headers
     signature = headers.get(_SIGNATURE, b"")
--- a/tests/test_forward_link.py
+++ b/tests/test_forward_link.py
@@ -97,6 +97,31 @@
         )
         self.assertEqual(owner.replies[0][1].body, b"own")
 
+    def test_a_late_copy_without_request_id_reaches_no_other_call(self) -> None:
+        # An endpoint may send an answer twice. If the copy does not name its
+        # request and arrives after the next call was sent, that call must not
+        # get it.
+        def unnamed(status: bytes, signature: bytes, body: bytes) -> bytes:
+            stamp = b"X-Response-Stamp: %b\r\n" % signature
+            return b"HTTP/1.1 %b\r\n%bContent-Length: %d\r\n\r\n%b" % (
+                status,
+                stamp if signature else b"X-Not-Executed: 1\r\n",
+                len(body),
+                body,
+            )
+
+        first = unnamed(b"200 OK", b"s1", b"one")
+        owner = self._exchange(first, first + unnamed(b"200 OK", b"s2", b"two"))
+        bodies = [(name, reply.body) for name, reply in owner.replies]
+        self.assertEqual(bodies, [(b"q1", b"one"), (b"q2", b"two")])
+        # A refusal may be a copy too, so the next call may have run.
+        refusal = unnamed(b"503 Busy", b"", b"")
+        owner = self._exchange(refusal, refusal)
+        outcomes = [reply.outcome for _, reply in owner.replies]
+        self.assertEqual(
+            outcomes, [forward.Outcome.REJECTED, forward.Outcome.LOST]
+        )
+
     def test_bytes_after_an_answer_end_the_connection(self) -> None:
         for extra in (b"junk", _response(b"q1", b"again"), b"HTTP/1.1 2"):
             with self.subTest(extra=extra):
