Process a change of members at a cost that does not grow with its square

Cause: each restart of a node made every other node process all endpoints twice and decode all registrations again. With 195 nodes that restart in turn, this work grows with the square of the site.

Change: endpoints are processed only if the nodes that share them changed; a restarting node counts for another 30 s, so it is none. Registrations are decoded one by one as they change, and the nodes that call shards for others are selected once for each change and use.

--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -199,11 +199,9 @@
     ) -> None:
         """Sets the nodes of the site, by their ids."""
         self._nodes = dict(nodes)
-        own = _delegation_nodes.select_delegation_nodes(nodes)
-        self._delegation_nodes = {
-            **_delegation_nodes.select_inter_zone_nodes(nodes),
-            self._zone: own.get(self._zone, []),
-        }
+        self._delegation_nodes = _delegation_nodes.select_callable_nodes(
+            self._zone, nodes
+        )
         self._plans.clear()
 
     def plan_groups(self, route: routing.Route) -> list[ShardGroup]:
--- a/src/geraniumstair/forward/_delegation_nodes.py
+++ b/src/geraniumstair/forward/_delegation_nodes.py
@@ -79,9 +79,25 @@
     nodes: Mapping[str, NodeInfo],
 ) -> dict[str, list[str]]:
     """Returns the nodes that nodes of other zones call, by zone."""
+    return _limit_to_inter_zone(select_delegation_nodes(nodes))
+
+
+def select_callable_nodes(
+    own_zone: str, nodes: Mapping[str, NodeInfo]
+) -> dict[str, list[str]]:
+    """Returns the nodes that a node of a zone may ask for shards, by zone."""
+    selected = select_delegation_nodes(nodes)
+    callable_nodes = _limit_to_inter_zone(selected)
+    if own_zone in selected:
+        callable_nodes[own_zone] = selected[own_zone]
+    return callable_nodes
+
+
+def _limit_to_inter_zone(
+    selected: Mapping[str, list[str]],
+) -> dict[str, list[str]]:
     return {
-        zone: node_ids[:INTER_ZONE_NODES]
-        for zone, node_ids in select_delegation_nodes(nodes).items()
+        zone: node_ids[:INTER_ZONE_NODES] for zone, node_ids in selected.items()
     }
 
 
@@ -94,10 +110,8 @@
         own_zone: Availability zone of the node.
         nodes: All nodes of the site by their ids.
     """
-    selected = set(select_delegation_nodes(nodes).get(own_zone, ()))
-    for node_ids in select_inter_zone_nodes(nodes).values():
-        selected.update(node_ids)
-    return frozenset(selected)
+    by_zone = select_callable_nodes(own_zone, nodes)
+    return frozenset(n for node_ids in by_zone.values() for n in node_ids)
 
 
 def rank_by_weight(
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -145,8 +145,12 @@
             dict.fromkeys(self._current_members | current, now_s)
         )
         self._current_members = current
-        self._recent_members = self._find_recent_members()
-        self._refresh_all()
+        recent = self._find_recent_members()
+        # A node that restarts stays among them, so a restart of a whole site
+        # does not make each node process all endpoints for each other node.
+        if recent != self._recent_members:
+            self._recent_members = recent
+            self._refresh_all()
 
     def _find_recent_members(self) -> Sequence[str]:
         cutoff_s = trio.current_time() - MEMBER_RETENTION_S
--- a/src/geraniumstair/gateway/_presence.py
+++ b/src/geraniumstair/gateway/_presence.py
@@ -150,21 +150,40 @@
         self._on_members_changed = on_members_changed
         self._lease_id = 0
         self._members: frozenset[str] = frozenset([node_id])
-        self._read_revision = -1
         self._applied_state: object = None
         self._registered: dict[str, Member] = {}
         self._registrations_changed = trio.Event()
         local_mirror.subscribe(self._on_items_changed)
 
     def _on_items_changed(self, items: Sequence[mirror.MirrorItem]) -> None:
-        if not any(item.key.startswith(KEY_PREFIX) for item in items):
+        changed = [i for i in items if i.key.startswith(KEY_PREFIX)]
+        if not changed:
             return
-        if self._registered:
-            self._registrations_changed.set()
-        else:
+        is_first = not self._registered
+        # A copy, because the members in force refer to the earlier one.
+        self._registered = dict(self._registered)
+        for item in changed:
+            self._apply_registration(item)
+        if is_first:
             # Until a node knows the others, it takes itself for one of the few
             # that watch the store.
             self._update_members()
+        else:
+            self._registrations_changed.set()
+
+    def _apply_registration(self, item: mirror.MirrorItem) -> None:
+        node_id = item.key.removeprefix(KEY_PREFIX)
+        self._registered.pop(node_id, None)
+        if item.value is None:
+            return
+        member = _decode_member(item.value)
+        if member is None:
+            _LOG.warning(
+                "gateway: the value of key %s is not a valid registration",
+                item.key,
+            )
+        else:
+            self._registered[node_id] = member
 
     async def run(self) -> None:
         """Maintains the registration and the members until cancelled."""
@@ -237,7 +256,6 @@
             self._registrations_changed = trio.Event()
 
     def _update_members(self) -> None:
-        self._read_registrations()
         registered = self._registered
         members = frozenset(registered) | self._network.connected_nodes()
         members |= {self._node_id}
@@ -266,22 +284,6 @@
         )
         self._on_members_changed(infos)
 
-    def _read_registrations(self) -> None:
-        if self._read_revision == self._mirror.newest_revision:
-            return
-        self._read_revision = self._mirror.newest_revision
-        registered = {}
-        for item in self._mirror.items_with_prefix(KEY_PREFIX):
-            member = _decode_member(item.value or b"")
-            if member is None:
-                _LOG.warning(
-                    "gateway: the value of key %s is not a valid registration",
-                    item.key,
-                )
-            else:
-                registered[item.key.removeprefix(KEY_PREFIX)] = member
-        self._registered = registered
-
 
 def _decode_member(value: bytes) -> Member | None:
     try:
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -612,6 +612,36 @@
 
         _run_on_virtual_clock(test)
 
+    def test_a_restart_of_another_node_refreshes_no_endpoint(self) -> None:
+        # When 195 nodes restarted one after the other, each of them processed
+        # all endpoints twice for each restart.
+        async def test(nursery: trio.Nursery) -> None:
+            members = [f"n{i}" for i in range(1, 40)]
+            fixture = builders.ForwarderFixture(
+                nursery,
+                [builders.endpoint_entry("x1")],
+                [builders.route()],
+                members=members,
+            )
+            refreshed = []
+            users = fixture.pool.node_count
+
+            def count(service: str) -> int:
+                refreshed.append(service)
+                return users(service)
+
+            fixture.pool.node_count = count
+            for restarting in members[1:]:
+                fixture.pool.set_members(
+                    [m for m in members if m != restarting]
+                )
+                fixture.pool.set_members(members)
+            self.assertEqual(refreshed, [])
+            fixture.pool.set_members([*members, "new"])
+            self.assertEqual(set(refreshed), {"s1"})
+
+        _run_on_virtual_clock(test)
+
     def test_a_registration_refreshes_only_its_own_service(
         self,
     ) -> None:
