--- a/src/geraniumstair/mirror/_mirror.py
+++ b/src/geraniumstair/mirror/_mirror.py
@@ -123,6 +123,8 @@
             subscriber(newer)
 
     def _prune_tombstones(self) -> None:
+        if len(self._items) <= MAX_TOMBSTONES:
+            return
         deleted = [i for i in self._items.values() if i.value is None]
         if len(deleted) <= MAX_TOMBSTONES:
             return
