Send notices of changes at most five times a second

Cause: a node told all its neighbours of each batch of changes at once, so on each stream the notices of both ends crossed. While all nodes of a large site restart in turn, changes come ten times a second.

Change: notices of changes are 0.2 s apart while changes keep coming. Most neighbours know a change by then and need no notice. The first change after a quiet time is sent at once.

Ruled out: fewer neighbours, which would cost hops.

The 200 ms a hop are well within the 3 s that a change may take on small sites, which are one hop wide.

--- a/src/geraniumstair/mirror/_gossip.py
+++ b/src/geraniumstair/mirror/_gossip.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Sequence
 import logging
+import math
 from typing import Protocol
 import zlib
 
@@ -27,6 +28,9 @@
 
 _LOG = logging.getLogger(__name__)
 NOTICE_INTERVAL_S = 0.5
+# While changes keep coming, notices of them are at least this far apart. Most
+# neighbours then know a change already when their notice is due, and need none.
+MIN_NOTICE_INTERVAL_S = 0.2
 REQUEST_TIMEOUT_MS = 500.0
 # A peer that requested notices within this time, which is four notice
 # intervals, receives them even if it is not a neighbour.
@@ -132,11 +136,13 @@
 
     async def _notice_loop(self) -> None:
         next_s = 0.0
+        sent_s = -math.inf
         while True:
             with trio.move_on_at(next_s):
                 await self._items_changed.wait()
+                await trio.sleep_until(sent_s + MIN_NOTICE_INTERVAL_S)
             self._items_changed = trio.Event()
-            now_s = trio.current_time()
+            sent_s = now_s = trio.current_time()
             periodic = now_s >= next_s
             if (
                 periodic
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -246,6 +246,26 @@
                 self._assert_watch_taken_over(7, 3.0, fault)
                 self._assert_watch_taken_over(87, 5.0, fault)
 
+    def test_notices_do_not_grow_with_the_rate_of_changes(self) -> None:
+        # While all nodes of a large site restarted in turn, each node told all
+        # its neighbours of each change.
+        async def test(nursery: trio.Nursery) -> None:
+            source = builders.FakeStore()
+            source.put("a", b"1")
+            nodes, mirrors = self._site(nursery, 9, source)
+            await trio.sleep(3)
+            sent_before = sum(n.sent.total() for n in nodes.values())
+            for i in range(100):
+                source.put(f"k{i}", b"1")
+                await trio.sleep(0.1)
+            sent = sum(n.sent.total() for n in nodes.values()) - sent_before
+            # Five notices of changes and two periodic ones in a second.
+            self.assertLessEqual(sent, 9 * 8 * 10 * 7)
+            behind = [n for n, m in mirrors.items() if m.get("k95") is None]
+            self.assertEqual(behind, [])
+
+        _run(test)
+
     def test_a_node_that_stops_requesting_notices_gets_none(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             source = builders.FakeStore()
