Correct a test's slow node, a schema note and empty section comments

Cause: found by readers. A test of membership set a field that nothing reads, so its slow node was not slow; it now sets the one that is read, and passes. The schema said that a digest covers the uncompressed content; it covers the compressed one. Five section comments said nothing.

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -499,13 +499,12 @@
     """
     content_digest: (
         Annotated[
-            bytes,
-            Meta(description="SHA-256 of the digest and the uncompressed content."),
+            bytes, Meta(description="SHA-256 of the digest and the compressed content.")
         ]
         | UnsetType
     ) = UNSET
     """
-    SHA-256 of the digest and the uncompressed content.
+    SHA-256 of the digest and the compressed content.
     """
 
 
--- a/src/geraniumstair/dispatch/_dispatcher.py
+++ b/src/geraniumstair/dispatch/_dispatcher.py
@@ -132,8 +132,6 @@
                     continue
             shard.tick(now_s)
 
-    # Requests.
-
     async def submit(
         self, request: messages.ShardRequest
     ) -> messages.ShardReply:
@@ -362,8 +360,6 @@
             spec.availability_zone
         )
 
-    # Handover.
-
     def export_shard_state(
         self, key: configuration.ShardKey
     ) -> messages.ShardState:
--- a/src/geraniumstair/dispatch/_endpoint.py
+++ b/src/geraniumstair/dispatch/_endpoint.py
@@ -146,8 +146,6 @@
         self.ramp.resize(self._count_usable_slots(spec))
         self.adjust_connections()
 
-    # Ramp.
-
     def restart_ramp(self, reason: str, *, suspected: bool = False) -> None:
         """Restarts the ramp as for a cold endpoint.
 
@@ -282,8 +280,6 @@
         if worker in self._idle_workers:
             self._idle_workers.remove(worker)
 
-    # Requests.
-
     def start_attempt(self, attempt: _connection.Attempt) -> None:
         """Starts an attempt; `has_free_slot` must be true."""
         self.in_flight += 1
--- a/src/geraniumstair/rollout/_manager.py
+++ b/src/geraniumstair/rollout/_manager.py
@@ -262,8 +262,6 @@
             judged.judge.add_report(report)
         return judged is not None
 
-    # Decisions.
-
     def _decide(self, judged: _JudgedRollout) -> None:
         self._apply_known_state(judged)
         now_s = self._wall_clock()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -326,7 +326,7 @@
             # A slow node receives the topology with the availability zone in
             # after a delay.
             late = builders_membership.FakeHolder(site.holder.current)
-            site.nodes["n9"]._holder = late
+            site.nodes["n9"]._state.holder = late
             site.set_out("az-a", False)
             await trio.sleep(2)
             late.current = site.holder.current
