Link two availability zones by three streams instead of nine

Cause: each of three nodes of a zone told all three of every other zone, so the same notice crossed between two zones nine times; bytes between zones are the dearest price of the large site.

Change: the streams between two zones have no node in common, so the loss of two nodes still leaves one.

Measured: a test counts them (nine before).

--- a/src/geraniumstair/gateway/_presence.py
+++ b/src/geraniumstair/gateway/_presence.py
@@ -114,8 +114,9 @@
         chosen.add(ring[(own_index - distance) % len(ring)])
         distance *= 2
     if own_index < INTER_ZONE_NODES:
-        for names in by_zone.values():
-            chosen.update(names[:INTER_ZONE_NODES])
+        # One stream from each of them to each other zone: three streams between
+        # two zones, which have no node in common.
+        chosen.update(n[own_index % len(n)] for n in by_zone.values() if n)
     return frozenset(chosen) - {node_id}
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -155,6 +155,23 @@
         self.assertEqual(len(reached), 790)
         self.assertLessEqual(hops, 10)
 
+    def test_two_zones_share_few_streams_that_two_losses_do_not_cut(
+        self,
+    ) -> None:
+        zones = {f"n{i}": f"z{i % 5}" for i in range(195)}
+        links = {m: gateway.select_neighbours(m, zones) for m in zones}
+        pairs = [
+            (m, n)
+            for m, neighbours in links.items()
+            for n in neighbours
+            if (zones[m], zones[n]) == ("z1", "z2")
+        ]
+        self.assertEqual(len(pairs), 3)
+        self.assertEqual(len({m for m, _ in pairs}), 3)
+        self.assertEqual(len({n for _, n in pairs}), 3)
+        for m, n in pairs:
+            self.assertIn(m, links[n])
+
     def test_a_small_site_is_a_full_mesh(self) -> None:
         zones = {"a": "x", "b": "x", "c": "y"}
         self.assertEqual(gateway.select_neighbours("a", zones), {"b", "c"})
