Keep no idle connections that the endpoints do not have

Cause: on the large site, endpoints accept 120 connections and 195 nodes kept some: connections opened in advance for every service that a route names, and those of nodes that call shards themselves while they have no streams.

Change: a node keeps idle connections, and opens them in advance, only if all nodes that call the service together stay within 80% of the cap. Of a large search, only the nodes that call shards for others keep them.

Ruled out: one endpoint for each node instead of two, which leaves no choice when that endpoint fails.

--- a/src/geraniumstair/forward/_delegation_nodes.py
+++ b/src/geraniumstair/forward/_delegation_nodes.py
@@ -114,6 +114,12 @@
     return frozenset(n for node_ids in by_zone.values() for n in node_ids)
 
 
+def calls_for_others(node_id: str, nodes: Mapping[str, NodeInfo]) -> bool:
+    """Returns whether a node calls shards on behalf of other nodes."""
+    own_zone = nodes[node_id].availability_zone
+    return node_id in select_delegation_nodes(nodes).get(own_zone, ())
+
+
 def rank_by_weight(
     node_ids: Sequence[str], key: str, nodes: Mapping[str, NodeInfo]
 ) -> list[str]:
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -113,6 +113,8 @@
         self._cold_limits: dict[str, _ColdRateLimit] = {}
         self._table: routing.RouteTable | None = None
         self._preconnected_services: frozenset[str] = frozenset()
+        # True if this node calls grouped services for other nodes.
+        self._calls_groups = True
         self._current_members: frozenset[str] = frozenset([settings.node_id])
         self._last_member_at_s: dict[str, float] = {}
         # Includes former members for `MEMBER_RETENTION_S`.
@@ -152,6 +154,13 @@
             self._recent_members = recent
             self._refresh_all()
 
+    def set_calls_groups(self, calls_groups: bool) -> None:
+        """Sets whether this node calls grouped services for other nodes."""
+        if calls_groups != self._calls_groups:
+            self._calls_groups = calls_groups
+            for replica in self._replicas.values():
+                replica.keeps_links = self._keeps_links(replica.entry.service)
+
     def _find_recent_members(self) -> Sequence[str]:
         cutoff_s = trio.current_time() - MEMBER_RETENTION_S
         self._last_member_at_s = {
@@ -250,11 +259,13 @@
             self._by_service.pop(service, None)
         for service, replicas in found.items():
             max_links = self._compute_max_links(service)
+            keeps_links = self._keeps_links(service)
             for replica in replicas:
                 replica.max_links = max_links
+                replica.keeps_links = keeps_links
             used = self._choose_subset(service, replicas)
             self._by_service[service] = used
-            if service in self._preconnected_services:
+            if service in self._preconnected_services and keeps_links:
                 for replica in used:
                     if replica.entry.state is discovery.EndpointState.READY:
                         replica.preconnect()
@@ -295,6 +306,17 @@
         subset = set(ready[:subset_size])
         return [r for r in replicas if r in subset] or replicas
 
+    def _keeps_links(self, service: str) -> bool:
+        """Returns whether this node may keep idle connections to a service.
+
+        If more nodes call a service than its endpoints accept connections,
+        idle ones would make the endpoints reset connections that carry calls.
+        """
+        if service in self._grouped_services and not self._calls_groups:
+            return False
+        limit = self._get_limits(service).max_connections
+        return self.node_count(service) <= CONNECTIONS_USED_SHARE * limit
+
     def _get_limits(self, service: str) -> routing.ServiceLimits:
         if self._table is None:
             return routing.ServiceLimits()
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -76,6 +76,7 @@
     Attributes:
         entry: The newest registration of the instance.
         max_links: Connections that this node may hold.
+        keeps_links: Connections stay open while no call needs them.
         latency_ms: Moving average of the latency of a call.
         failure_share: Moving average of failed calls, 0 to 1.
         cold_until_s: When the endpoint's warm-up ends.
@@ -95,6 +96,7 @@
     ) -> None:
         self.entry = entry
         self.max_links = max_links
+        self.keeps_links = True
         self.latency_ms = INITIAL_LATENCY_MS
         self.failure_share = 0.0
         self.cold_until_s = 0.0
@@ -352,6 +354,8 @@
             self._free_links.append(link)
         if self._waiting:
             self._dispatch()
+        if not self.keeps_links and link.call is None:
+            link.close()
 
     def on_link_closed(self, link: _link.Link) -> None:
         """Removes a closed link, and opens another one if calls are queued."""
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -345,6 +345,9 @@
     def _set_members(self, nodes: Mapping[str, forward.NodeInfo]) -> None:
         members = frozenset(nodes)
         self._delegation.set_nodes(nodes)
+        self._pool.set_calls_groups(
+            forward.calls_for_others(self._settings.node_id, nodes)
+        )
         # Every node keeps streams to these nodes, so evidence reaches them.
         self._rollouts.set_judge_candidates(
             [
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -612,6 +612,56 @@
 
         _run_on_virtual_clock(test)
 
+    def test_no_connection_is_kept_if_the_endpoints_have_too_few(self) -> None:
+        # 195 nodes kept connections to two endpoints that accept 120. The
+        # endpoints reset those beyond, and calls on them were lost.
+        async def test(nursery: trio.Nursery) -> None:
+            members = [f"n{i}" for i in range(1, 196)]
+            for cap, kept in ((120, 0), (1200, 2)):
+                with self.subTest(cap=cap):
+                    fixture = builders.ForwarderFixture(
+                        nursery,
+                        [builders.endpoint_entry(f"e{i}") for i in range(2)],
+                        [route := builders.route()],
+                        limits={"max_connections": cap},
+                        members=members,
+                    )
+                    await trio.sleep(0.1)
+                    self.assertEqual(fixture.site.connections, kept)
+                    for _ in range(3):
+                        outcome = await fixture.forwarder.forward(
+                            builders.caller_request(), route
+                        )
+                        self.assertIsInstance(outcome, forward.SingleResult)
+                        await trio.sleep(0.1)
+                    links = [r.link_count for r in fixture.pool.replicas()]
+                    self.assertEqual(sum(links), kept)
+
+        _run_on_virtual_clock(test)
+
+    def test_only_nodes_that_call_for_others_keep_links_to_shards(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            names = _shard_names(60)
+            route = builders.search_route(names)
+            for calls_groups in (True, False):
+                with self.subTest(calls_groups=calls_groups):
+                    fixture = builders.ForwarderFixture(
+                        nursery,
+                        _two_zone_entries(60),
+                        [route],
+                        limits={"max_connections": 120},
+                        members=[f"n{i}" for i in range(1, 196)],
+                    )
+                    fixture.pool.set_calls_groups(calls_groups)
+                    await fixture.forwarder.forward(
+                        builders.caller_request(), route
+                    )
+                    await trio.sleep(0.1)
+                    links = [r.link_count for r in fixture.pool.replicas()]
+                    self.assertEqual(sum(links), 60 if calls_groups else 0)
+
+        _run_on_virtual_clock(test)
+
     def test_a_restart_of_another_node_refreshes_no_endpoint(self) -> None:
         # When 195 nodes restarted one after the other, each of them processed
         # all endpoints twice for each restart.
