Free the buffered bytes of a truncated response, name the limit's types

Cause: found on reading the change. The connections of `dispatch` did not free their part of the limit on buffered bytes when they closed, so truncated responses would have used it up. A test of theirs fails without the change. The admission of a search returns a type for a rejection instead of a number, and its names say load where they mean it.

--- a/src/geraniumstair/dispatch/_http_client.py
+++ b/src/geraniumstair/dispatch/_http_client.py
@@ -108,6 +108,7 @@
             self._open = False
             trio.lowlevel.notify_closing(self._socket)
             self._socket.close()
+            self._parser.close()
 
     async def search(
         self, request: _client.EndpointRequest
--- a/src/geraniumstair/forward/_admission.py
+++ b/src/geraniumstair/forward/_admission.py
@@ -31,7 +31,7 @@
 # Weight of a new sample in the moving average of the duration of a search.
 DURATION_WEIGHT = 0.1
 INITIAL_DURATION_S = 0.1
-# Limits are forgotten when the routes have named this many sets of shards.
+# Loads are forgotten when the routes have named this many sets of shards.
 MAX_SHARD_SETS = 100
 
 
@@ -65,7 +65,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Limit:
+class _Load:
     """Searches of one set of shards.
 
     Attributes:
@@ -89,10 +89,22 @@
 
     Attributes:
         started_s: When it was admitted, on the monotonic clock.
+        load: Searches of the same shards.
     """
 
     started_s: float
-    limit: _Limit
+    load: _Load
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejection:
+    """A search that must not call its shards now.
+
+    Attributes:
+        retry_after_s: Time until a retry makes sense.
+    """
+
+    retry_after_s: float
 
 
 class AdmissionControl:
@@ -104,54 +116,54 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._limits: dict[tuple[str, ...], _Limit] = {}
+        self._loads: dict[tuple[str, ...], _Load] = {}
 
     def admit(
         self, shards: tuple[str, ...], *, preferred: bool
-    ) -> Permit | float:
-        """Admits a search, or returns the time until a retry makes sense, in s.
+    ) -> Permit | Rejection:
+        """Admits or rejects a search.
 
         Args:
             shards: The shards of the search.
             preferred: The search belongs to the most urgent route, or its
                 caller returns after a refusal.
         """
-        limit = self._get_limit(shards)
+        load = self._get_load(shards)
         share = 1.0 if preferred else NEW_CALLER_SHARE
-        if limit.in_progress >= max(1.0, share * limit.limit):
-            return self._schedule_return(limit)
-        limit.in_progress += 1
-        return Permit(self._clock(), limit)
+        if load.in_progress >= max(1.0, share * load.limit):
+            return Rejection(self._schedule_return(load))
+        load.in_progress += 1
+        return Permit(self._clock(), load)
 
     def finish(self, permit: Permit, evidence: Evidence) -> None:
         """Learns from a search that was admitted and has ended."""
-        limit = permit.limit
+        load = permit.load
         now_s = self._clock()
         took_s = now_s - permit.started_s
-        limit.duration_s += DURATION_WEIGHT * (took_s - limit.duration_s)
+        load.duration_s += DURATION_WEIGHT * (took_s - load.duration_s)
         if evidence is Evidence.IN_TIME:
-            limit.limit = min(MAX_LIMIT, limit.limit + 1 / limit.limit)
+            load.limit = min(MAX_LIMIT, load.limit + 1 / load.limit)
         elif (
             evidence is Evidence.OVERLOADED
-            and permit.started_s >= limit.decreased_at_s
+            and permit.started_s >= load.decreased_at_s
         ):
             # Searches that began before the last decrease show nothing about
             # the present limit.
-            limit.limit = max(MIN_LIMIT, DECREASE_FACTOR * limit.in_progress)
-            limit.decreased_at_s = now_s
-        limit.in_progress -= 1
-
-    def _get_limit(self, shards: tuple[str, ...]) -> _Limit:
-        limit = self._limits.get(shards)
-        if limit is None:
-            if len(self._limits) >= MAX_SHARD_SETS:
-                self._limits.clear()
-            limit = self._limits[shards] = _Limit()
-        return limit
-
-    def _schedule_return(self, limit: _Limit) -> float:
+            load.limit = max(MIN_LIMIT, DECREASE_FACTOR * load.in_progress)
+            load.decreased_at_s = now_s
+        load.in_progress -= 1
+
+    def _get_load(self, shards: tuple[str, ...]) -> _Load:
+        load = self._loads.get(shards)
+        if load is None:
+            if len(self._loads) >= MAX_SHARD_SETS:
+                self._loads.clear()
+            load = self._loads[shards] = _Load()
+        return load
+
+    def _schedule_return(self, load: _Load) -> float:
         """Spreads refused callers over the rate at which searches end."""
         now_s = self._clock()
-        interval_s = limit.duration_s / limit.limit
-        limit.next_return_s = max(now_s, limit.next_return_s) + interval_s
-        return limit.next_return_s - now_s
+        interval_s = load.duration_s / load.limit
+        load.next_return_s = max(now_s, load.next_return_s) + interval_s
+        return load.next_return_s - now_s
--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -90,10 +90,9 @@
             route.shards,
             preferred=self._is_most_urgent(route) or search.waited_ms > 0,
         )
-        if not isinstance(permit, _admission.Permit):
-            return self._report(
-                request, route, _build_overload_refusal(permit), search
-            )
+        if isinstance(permit, _admission.Rejection):
+            refusal = _build_overload_refusal(permit.retry_after_s)
+            return self._report(request, route, refusal, search)
         evidence = _admission.Evidence.UNCLEAR
         try:
             result = await search.run()
--- a/tests/test_dispatch_http_client.py
+++ b/tests/test_dispatch_http_client.py
@@ -9,6 +9,7 @@
 
 from geraniumstair import configuration
 from geraniumstair import dispatch
+from geraniumstair.endpoint_http import _buffer_limit
 
 _Outcome = dispatch.Outcome
 _Script = Callable[[trio.SocketStream], Awaitable[None]]
@@ -287,6 +288,18 @@
 
         _run(serve, scenario)
 
+    def test_truncated_answer_does_not_stay_buffered(self) -> None:
+        # The bodies of all connections share a limit.
+        async def serve(stream: trio.SocketStream) -> None:
+            await _read_request(stream)
+            await stream.send_all(_build_response()[:-3])
+
+        async def scenario(connection: dispatch.HttpConnection) -> None:
+            await connection.search(_build_request())
+
+        _run(serve, scenario)
+        self.assertEqual(_buffer_limit.PROCESS_LIMIT.total_bytes, 0)
+
     def test_cancelled_search_closes_the_connection(self) -> None:
         async def scenario(connection: dispatch.HttpConnection) -> None:
             with trio.move_on_after(0.05):
--- a/tests/test_forward_admission.py
+++ b/tests/test_forward_admission.py
@@ -31,7 +31,9 @@
         self.now_s = 100.0
         self.control = _admission.AdmissionControl(lambda: self.now_s)
 
-    def _admit(self, preferred: bool = False) -> _admission.Permit | float:
+    def _admit(
+        self, preferred: bool = False
+    ) -> _admission.Permit | _admission.Rejection:
         return self.control.admit(_SHARDS, preferred=preferred)
 
     def _overload(self, in_progress: int) -> list[_admission.Permit]:
@@ -52,15 +54,15 @@
     def test_an_overload_limits_new_and_preferred_callers(self) -> None:
         self._overload(10)
         # Nine are in progress, and the limit is seven.
-        self.assertIsInstance(self._admit(), float)
-        self.assertIsInstance(self._admit(preferred=True), float)
+        self.assertIsInstance(self._admit(), _admission.Rejection)
+        self.assertIsInstance(self._admit(preferred=True), _admission.Rejection)
 
     def test_preferred_callers_use_the_whole_limit(self) -> None:
         permits = self._overload(10)
         for permit in permits[:3]:
             self.control.finish(permit, _admission.Evidence.UNCLEAR)
         # Six are in progress: four fifths of the limit are in use.
-        self.assertIsInstance(self._admit(), float)
+        self.assertIsInstance(self._admit(), _admission.Rejection)
         self.assertIsInstance(self._admit(preferred=True), _admission.Permit)
 
     def test_searches_of_before_the_decrease_lower_it_no_further(self) -> None:
@@ -84,9 +86,11 @@
 
     def test_refused_callers_return_one_after_the_other(self) -> None:
         self._overload(10)
-        waits_s = [self._admit() for _ in range(5)]
-        for wait_s in waits_s:
-            assert isinstance(wait_s, float)
+        waits_s = []
+        for _ in range(5):
+            rejection = self._admit()
+            assert isinstance(rejection, _admission.Rejection)
+            waits_s.append(rejection.retry_after_s)
         self.assertEqual(waits_s, sorted(set(waits_s)))
         # A search takes about 0.1 s, and seven run at once.
         self.assertAlmostEqual(
