Keep the faults of a soak whose run fails

Change: each fault is written to a file beside the logs of the nodes at once, and a failed run is reported like a broken promise, with its folder.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 import shutil
 import sys
 import tempfile
+import traceback
 from typing import Any
 
 import trio
@@ -22,6 +23,7 @@
 RECOVERY_S = 12.0
 RECOVERY_REQUEST_COUNT = 40
 MIN_RECOVERED_SHARE = 0.9
+FAULT_LOG_NAME = "faults.log"
 
 
 async def _run_seed(
@@ -32,7 +34,9 @@
         site = _site.Site(nursery, rng, directory, nodes)
         try:
             await site.start()
-            plan = await _run_with_faults(site, rng, duration_s)
+            plan = await _run_with_faults(
+                site, rng, duration_s, directory / FAULT_LOG_NAME
+            )
             recovered = await _measure_recovery(site)
             violations = [*site.tally.violations, *plan.violations]
             violations += _find_final_violations(site, recovered)
@@ -55,13 +59,16 @@
 
 
 async def _run_with_faults(
-    site: _site.Site, rng: random.Random, duration_s: float
+    site: _site.Site,
+    rng: random.Random,
+    duration_s: float,
+    log_path: pathlib.Path,
 ) -> _faults.FaultPlan:
     async with trio.open_nursery() as nursery:
         for caller in site.build_callers(CALLER_COUNT):
             nursery.start_soon(caller.run)
         async with trio.open_nursery() as fault_nursery:
-            plan = _faults.FaultPlan(site, fault_nursery, rng)
+            plan = _faults.FaultPlan(site, fault_nursery, rng, log_path)
             await plan.run(duration_s)
         plan.clear_faults()
         nursery.cancel_scope.cancel()
@@ -133,9 +140,14 @@
     violated = False
     for seed in range(options.seed, options.seed + options.seeds):
         directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        outcome = trio.run(
-            _run_seed, seed, options.duration_s, options.nodes, directory
-        )
+        try:
+            outcome = trio.run(
+                _run_seed, seed, options.duration_s, options.nodes, directory
+            )
+        except Exception as error:
+            # The logs of the nodes and faults are needed most in this case.
+            traceback.print_exc()
+            outcome = {"seed": seed, "faults": [f"the run failed: {error!r}"]}
         if outcome["faults"]:
             violated = True
             outcome["logs"] = str(directory)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -1,5 +1,6 @@
 """Random faults that are injected from outside the node processes."""
 
+import pathlib
 import random
 import signal
 
@@ -22,6 +23,8 @@
         site: The site under test.
         nursery: Runs each fault until its end.
         rng: Source of random numbers.
+        log_path: File that gets each line of the fault log at once, so that it
+            remains if the run fails.
 
     Attributes:
         fault_log: One line for each fault, beginning with its time in s.
@@ -29,8 +32,13 @@
     """
 
     def __init__(
-        self, site: _site.Site, nursery: trio.Nursery, rng: random.Random
+        self,
+        site: _site.Site,
+        nursery: trio.Nursery,
+        rng: random.Random,
+        log_path: pathlib.Path,
     ) -> None:
+        self._log_path = log_path
         self.fault_log: list[str] = []
         self.violations: list[str] = []
         self._site = site
@@ -66,7 +74,10 @@
 
     def _record_fault(self, text: str) -> None:
         at_s = trio.current_time() - self._started_s
-        self.fault_log.append(f"{at_s:.2f} {text}")
+        line = f"{at_s:.2f} {text}"
+        self.fault_log.append(line)
+        with self._log_path.open("a", encoding="utf-8") as log:
+            log.write(line + "\n")
 
     def _reserve_node(self) -> _site.Node | None:
         """Reserves a node for a fault; returns None if at most two are free."""
