--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -1,6 +1,7 @@
 """Builders of routes, endpoints, calls and fakes for tests of the gateway."""
 
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -12,6 +13,7 @@
 
 import result
 import trio
+import trio.testing
 
 from geraniumstair import canary
 from geraniumstair import discovery
@@ -27,6 +29,20 @@
 ANSWERED = forward.Outcome.ANSWERED
 
 
+def run_on_virtual_clock(
+    test: Callable[[trio.Nursery], Awaitable[None]],
+) -> None:
+    """Runs a test with a nursery, for at most 600 s of virtual time."""
+
+    async def bounded() -> None:
+        with trio.fail_after(600):
+            async with trio.open_nursery() as nursery:
+                await test(nursery)
+                nursery.cancel_scope.cancel()
+
+    trio.run(bounded, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def endpoint_entry(
     endpoint_id: str = "e1", **changes: Any
 ) -> discovery.EndpointEntry:
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -10,18 +10,6 @@
 from tests import builders_gateway as builders
 
 
-def _run_on_virtual_clock(test) -> None:
-    """Runs a test with a nursery, for at most 600 s of virtual time."""
-
-    async def bounded() -> None:
-        with trio.fail_after(600):
-            async with trio.open_nursery() as nursery:
-                await test(nursery)
-                nursery.cancel_scope.cancel()
-
-    trio.run(bounded, clock=trio.testing.MockClock(autojump_threshold=0))
-
-
 def _two_zone_entries(shards: int) -> list[discovery.EndpointEntry]:
     """Returns two endpoints for each shard, in availability zones a and b."""
     return [
@@ -131,7 +119,7 @@
             self.assertEqual(outcome.missing, 0)
             self.assertEqual(outcome.records, b"3" * 16 + b"2" * 16 + b"1" * 16)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_silent_endpoint_is_hedged_within_the_goal(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -149,7 +137,7 @@
             self.assertIn(b"b2", outcome.signatures)
             self.assertLess(trio.current_time() - started_s, 0.2)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_an_incomplete_answer_is_sent_at_the_goal_and_says_so(
         self,
@@ -170,7 +158,7 @@
             self.assertEqual(len(outcome.signatures), 3)
             self.assertLess(trio.current_time() - started_s, 0.2)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_search_that_cannot_be_served_is_refused_at_once(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -188,7 +176,7 @@
             self.assertEqual(trio.current_time(), started_s)
             self.assertEqual(fixture.site.sent, [])
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_shard_runs_on_no_more_endpoints_than_allowed(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -208,7 +196,7 @@
             self.assertFalse(outcome.not_run)
             self.assertEqual(len(fixture.site.sent), 2)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_search_whose_calls_were_never_sent_has_not_run(self) -> None:
         # Such searches got 504, after which callers do not retry requests that
@@ -229,7 +217,7 @@
             self.assertEqual(fixture.site.sent, [])
             self.assertTrue(outcome.not_run)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_nothing_is_repeated_without_budget(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -249,7 +237,7 @@
             self.assertEqual(outcome.missing, 1)
             self.assertNotIn("b1", fixture.site.sent_to())
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_calls_of_a_disconnected_caller_are_aborted(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -269,7 +257,7 @@
             self.assertTrue(fixture.site.sent)
             self.assertEqual([r.load for r in fixture.pool.replicas()], [0, 0])
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
 
 class CallerWaitEstimatorTest(unittest.TestCase):
@@ -300,7 +288,7 @@
             )
             took_s.append(trio.current_time() - started_s)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
         return took_s[0]
 
     def test_the_goal_counts_from_the_first_attempt(self) -> None:
@@ -333,7 +321,7 @@
             await trio.sleep(1)
             outcomes.append(fixture.site.sent_to())
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
         return outcomes
 
     def test_a_request_with_a_lost_answer_is_not_repeated(self) -> None:
@@ -401,7 +389,7 @@
             )
             self.assertIsInstance(outcome, forward.SingleResult)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_failure_of_the_endpoint_is_passed_on(self) -> None:
         failed = forward.Reply(forward.Outcome.FAILED, "", 500, [], b"f", b"s")
@@ -442,7 +430,7 @@
             self.assertIsNone(fixture.pool.choose_replica("s1", ()))
             self.assertFalse(fixture.pool.has_usable_endpoint("s1"))
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_an_endpoint_whose_address_was_reused_gets_one_call(self) -> None:
         # Calls to a reused address counted as repeats at the service that has
@@ -465,7 +453,7 @@
                 await trio.sleep(0.5)
             self.assertEqual(fixture.site.sent_to().count("x"), 1)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_the_local_zone_is_preferred_until_it_is_busier(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -485,7 +473,7 @@
             self.assertEqual(fixture.site.sent_to()[0], "x")
             self.assertIn("y", fixture.site.sent_to())
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_all_nodes_together_limit_calls_to_a_cold_endpoint(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -507,7 +495,7 @@
             self.assertGreater(sent, 0)
             self.assertLessEqual(sent, 10 * 1.5 + 5)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_node_that_lost_its_registration_still_counts_as_a_user(
         self,
@@ -528,7 +516,7 @@
             fixture.pool.apply_registry_changes()
             self.assertEqual(fixture.pool.node_count("s1"), 50)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_an_abandoned_call_to_a_removed_endpoint_is_aborted(
         self,
@@ -546,7 +534,7 @@
             await trio.sleep(1)
             self.assertTrue(all(link.closed for link in fixture.site.links))
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_long_request_does_not_count_as_a_failure(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -572,7 +560,7 @@
             self.assertEqual(state["avoided_for_s"], 0)
             self.assertEqual(state["failure_share"], 0)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_silent_endpoint_is_avoided_when_a_request_times_out(
         self,
@@ -589,7 +577,7 @@
             self.assertEqual(state["running"], 0)
             self.assertGreater(state["avoided_for_s"], 0)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_connections_of_all_nodes_fit_the_endpoint(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -610,7 +598,7 @@
                     used[name] = used.get(name, 0) + replica.max_links
             self.assertLessEqual(max(used.values()), 50)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_no_connection_is_kept_if_the_endpoints_have_too_few(self) -> None:
         # 195 nodes kept connections to two endpoints that accept 120. The
@@ -637,7 +625,7 @@
                     links = [r.link_count for r in fixture.pool.replicas()]
                     self.assertEqual(sum(links), kept)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_only_nodes_that_call_for_others_keep_links_to_shards(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -660,7 +648,7 @@
                     links = [r.link_count for r in fixture.pool.replicas()]
                     self.assertEqual(sum(links), 60 if calls_groups else 0)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_restart_of_another_node_refreshes_no_endpoint(self) -> None:
         # When 195 nodes restarted one after the other, each of them processed
@@ -690,7 +678,7 @@
             fixture.pool.set_members([*members, "new"])
             self.assertEqual(set(refreshed), {"s1"})
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_registration_refreshes_only_its_own_service(
         self,
@@ -718,7 +706,7 @@
             self.assertEqual(set(refreshed), {"s7"})
             self.assertEqual(fixture.pool.endpoint_count("s7"), 4)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_removed_endpoint_gets_no_more_calls(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -734,4 +722,4 @@
             await trio.sleep(0.1)
             self.assertEqual(replica.link_count, 0)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
--- a/tests/test_forward_delegation.py
+++ b/tests/test_forward_delegation.py
@@ -12,18 +12,6 @@
 from tests import builders_gateway as builders
 
 
-def _run_on_virtual_clock(test) -> None:
-    """Runs a test with a nursery, for at most 600 s of virtual time."""
-
-    async def bounded() -> None:
-        with trio.fail_after(600):
-            async with trio.open_nursery() as nursery:
-                await test(nursery)
-                nursery.cancel_scope.cancel()
-
-    trio.run(bounded, clock=trio.testing.MockClock(autojump_threshold=0))
-
-
 class _Node:
     """Routes in force and readiness of one node."""
 
@@ -129,7 +117,7 @@
             self.assertEqual(len(site.local.site.sent), 2)
             self.assertEqual(len(site.remote.site.sent), 6)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_remote_shards_that_are_down_are_refused_at_once(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -157,7 +145,7 @@
             # Two searches a second probe whether the shards have recovered.
             self.assertGreaterEqual(at_once, 50)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_plan_reads_the_connected_nodes_once(self) -> None:
         # With 87 nodes and 23 groups, a search spent most of its processor time
@@ -184,7 +172,7 @@
             self.assertTrue(groups)
             self.assertEqual(network.connected_calls, 1)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_node_that_declines_or_is_cut_off_is_replaced(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -201,7 +189,7 @@
                     self.assertEqual(outcome.records, _ALL_RECORDS)
                     self.assertEqual(site.remote.site.sent, [])
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_silent_node_is_replaced_within_the_time_limit(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -217,7 +205,7 @@
             await site.search()
             self.assertEqual(site.local_network.calls, calls)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_node_that_did_not_get_the_request_is_replaced(
         self,
@@ -236,7 +224,7 @@
             # The other node may still make one call for each shard.
             self.assertEqual(len(site.local.site.sent), 8)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_busy_node_is_waited_for_without_retry_budget(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -250,7 +238,7 @@
             self.assertEqual(outcome.missing, 0)
             self.assertEqual(len(site.remote.site.sent), 6)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_zone_without_power_is_bypassed(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -268,7 +256,7 @@
             # The silent endpoints are avoided by now.
             self.assertLess(trio.current_time() - started_s, 0.1)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_parts_that_the_other_node_lacks_are_missing(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -283,7 +271,7 @@
             self.assertEqual(len(outcome.signatures), 7)
             self.assertLess(trio.current_time() - started_s, 0.2)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_shard_is_called_if_the_other_node_has_no_part(
         self,
@@ -306,7 +294,7 @@
             assert isinstance(outcome, forward.SearchResult)
             self.assertEqual(outcome.missing, 1)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_both_nodes_together_keep_to_max_attempts(self) -> None:
         # An endpoint had been replaced, and a shard ran on two endpoints for
@@ -342,7 +330,7 @@
             }
             self.assertLessEqual(len(ran), 2)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_the_other_node_stops_when_the_caller_disconnects(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -357,7 +345,7 @@
             loads = [r.load for r in site.remote.pool.replicas()]
             self.assertEqual(sum(loads), 0)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_shards_of_another_version_are_not_mixed(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -369,7 +357,7 @@
             self.assertEqual(len(outcome.signatures), 8)
             self.assertEqual(site.remote.site.sent, [])
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_call_of_a_silent_node_may_have_run(self) -> None:
         # Without retry budget, the caller was told that nothing had run,
@@ -396,7 +384,7 @@
             self.assertEqual(len(site.remote.site.sent), 6)
             self.assertFalse(outcome.not_run)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
 
     def test_another_zone_gets_one_message_for_a_large_search(self) -> None:
         # On a day of 195 nodes, a search sent 25 messages to other zones.
@@ -432,4 +420,4 @@
             self.assertEqual(len(asked), len(set(asked)))
             self.assertEqual(sum(nodes[n] == "b" for n in asked), 1)
 
-        _run_on_virtual_clock(test)
+        builders.run_on_virtual_clock(test)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -19,16 +19,6 @@
 from tests import builders_gateway as builders
 
 
-def _run(test) -> None:
-    async def bounded() -> None:
-        with trio.fail_after(600):
-            async with trio.open_nursery() as nursery:
-                await test(nursery)
-                nursery.cancel_scope.cancel()
-
-    trio.run(bounded, clock=trio.testing.MockClock(autojump_threshold=0))
-
-
 class _RecordingListener:
     """Records the changes that it receives."""
 
@@ -274,7 +264,7 @@
             )
             self.assertEqual(leases.commit_count, 2)
 
-        _run(test)
+        builders.run_on_virtual_clock(test)
 
 
 class LifecycleTest(unittest.TestCase):
@@ -297,7 +287,7 @@
             self.assertGreater(accepting_s, 2.0)
             self.assertLess(accepting_s + lifecycle.drain_timeout_s, 6.0)
 
-        _run(test)
+        builders.run_on_virtual_clock(test)
 
 
 class _State:
@@ -350,7 +340,7 @@
             }
             await application(scope, receive, send)
 
-        _run(test)
+        builders.run_on_virtual_clock(test)
         return sent
 
     def _table(self, **limits: int) -> routing.RouteTable:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -13,16 +13,6 @@
 from tests import builders_gateway as builders
 
 
-def _run(test) -> None:
-    async def bounded() -> None:
-        with trio.fail_after(600):
-            async with trio.open_nursery() as nursery:
-                await test(nursery)
-                nursery.cancel_scope.cancel()
-
-    trio.run(bounded, clock=trio.testing.MockClock(autojump_threshold=0))
-
-
 class MirrorTest(unittest.TestCase):
     """Guards against older values that replace newer ones or deletions."""
 
@@ -129,7 +119,7 @@
             self.assertEqual(local_mirror.get("c").value, b"3")
             self.assertTrue(watcher.watching)
 
-        _run(test)
+        builders.run_on_virtual_clock(test)
 
 
 class MirrorGossipTest(unittest.TestCase):
@@ -169,7 +159,7 @@
             self.assertEqual(mirrors["n0"].get("a").value, b"1")
             self.assertEqual(mirrors["n0"].get("b").value, b"2")
 
-        _run(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_node_that_is_no_neighbour_of_others_receives_changes(
         self,
@@ -184,7 +174,7 @@
             self.assertEqual(mirrors["n0"].get("a").value, b"1")
             self.assertEqual(mirrors["n0"].get("b").value, b"2")
 
-        _run(test)
+        builders.run_on_virtual_clock(test)
 
     def _assert_watch_taken_over(
         self, count: int, limit_s: float, fault: str
@@ -234,7 +224,7 @@
             ]
             self.assertEqual(late, [])
 
-        _run(test)
+        builders.run_on_virtual_clock(test)
 
     def test_others_take_over_in_time_if_the_store_refuses_all_watchers(
         self,
@@ -264,7 +254,7 @@
             behind = [n for n, m in mirrors.items() if m.get("k95") is None]
             self.assertEqual(behind, [])
 
-        _run(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_node_that_stops_requesting_notices_gets_none(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -291,7 +281,7 @@
             sent_after = nodes["n1"].sent["n0"], nodes["n0"].sent["n1"]
             self.assertEqual(sent_after, sent_before)
 
-        _run(test)
+        builders.run_on_virtual_clock(test)
 
     def test_each_node_fetches_a_change_once(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
@@ -307,7 +297,7 @@
             # Three of the nine nodes receive the change from the store.
             self.assertLessEqual(fetch_count, 9)
 
-        _run(test)
+        builders.run_on_virtual_clock(test)
 
     def test_damaged_changes_are_discarded(self) -> None:
         local_mirror = mirror.Mirror()
--- a/tests/test_site_start.py
+++ b/tests/test_site_start.py
@@ -20,16 +20,6 @@
 STEADY_S = 6
 
 
-def _run(test) -> None:
-    async def bounded() -> None:
-        with trio.fail_after(600):
-            async with trio.open_nursery() as nursery:
-                await test(nursery)
-                nursery.cancel_scope.cancel()
-
-    trio.run(bounded, clock=trio.testing.MockClock(autojump_threshold=0))
-
-
 class SiteStartTest(unittest.TestCase):
     """Guards against a start whose store calls grow faster than the site.
 
@@ -78,7 +68,7 @@
             ]
             self.assertEqual(behind, [])
 
-        _run(test)
+        builders.run_on_virtual_clock(test)
 
     def test_a_small_and_a_large_site(self) -> None:
         for count in (30, 300):
