--- a/src/geraniumstair/forward/_call.py
+++ b/src/geraniumstair/forward/_call.py
@@ -34,6 +34,14 @@
 _NOT_RUN = frozenset([Outcome.REJECTED, Outcome.MISDIRECTED, Outcome.NOT_SENT])
 
 
+class Cause(enum.Enum):
+    """Why a call to an endpoint is made."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
     """Result of one call to an endpoint.
@@ -46,6 +54,8 @@
         body: Body of the answer.
         signature: Signature of the endpoint on its answer; empty without one.
         names_request: The answer states to which request it belongs.
+        rate_limit_per_s: Requests a second that the endpoint accepts from all
+            nodes together; None if it states no limit.
     """
 
     outcome: Outcome
@@ -55,6 +65,7 @@
     body: bytes = b""
     signature: bytes = b""
     names_request: bool = True
+    rate_limit_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,6 +144,7 @@
             before.
         service: Service that is called.
         route: Name of the caller's route.
+        cause: Why the call is made.
         endpoint_id: Endpoint that the call was submitted to; empty before.
         submitted_s: When the call was submitted to an endpoint.
         sent: Some bytes of the request were sent, or may have been.
@@ -150,6 +162,7 @@
     on_finished: Callable[["Call", Reply], None]
     service: str
     route: str = ""
+    cause: Cause = Cause.FIRST
     endpoint_id: str = ""
     submitted_s: float = 0.0
     sent: bool = False
--- a/src/geraniumstair/forward/_metrics.py
+++ b/src/geraniumstair/forward/_metrics.py
@@ -31,6 +31,12 @@
             "Calls beyond the first of a request, by cause.",
             ["cause"],
         )
+        self.limited_calls = registry.counter(
+            "forward",
+            "limited_calls",
+            "Calls to endpoints that state a request rate limit, by cause.",
+            ["cause"],
+        )
         self.missing_parts = registry.counter(
             "forward",
             "missing_parts",
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -12,6 +12,7 @@
 
 from geraniumstair import canary
 from geraniumstair import discovery
+from geraniumstair import observe
 from geraniumstair.forward import _call
 from geraniumstair.forward import _link
 from geraniumstair.forward import _metrics
@@ -48,6 +49,8 @@
 # call that has already lasted this long when it is abandoned is aborted at
 # once, because it would keep a slot from calls that somebody waits for.
 ABANDONED_LIMIT_S = 0.35
+# An answer of these kinds without a limit shows that the endpoint has none.
+_STATES_LIMIT = frozenset([_call.Outcome.ANSWERED, _call.Outcome.FAILED])
 
 
 class Spawner(Protocol):
@@ -82,6 +85,8 @@
         cold_until_s: When the endpoint's warm-up ends.
         address_reused: Another endpoint answered at the address. This instance
             has ended, whatever its registration still says.
+        rate_limit_per_s: Requests a second that the endpoint accepts from all
+            nodes together, as its last answer states; None without a limit.
     """
 
     def __init__(
@@ -118,6 +123,9 @@
         self._reconnecting = False
         self._closed = False
         self.address_reused = False
+        self.rate_limit_per_s: float | None = None
+        # Calls sent while the endpoint stated a limit, for the log.
+        self._limited_calls = 0
 
     # ---- state for load balancing ----
 
@@ -273,6 +281,9 @@
         data = call.prepared.encode(self.entry.endpoint_id, remaining_ms)
         if link.start(call, data):
             self._running[call] = link
+            if self.rate_limit_per_s is not None:
+                self._limited_calls += 1
+                self._metrics.limited_calls.labels(call.cause.value).inc()
         else:
             # The connection was closed before the call was sent; another one
             # may work.
@@ -369,9 +380,30 @@
         """Records the outcome of a call, and delivers its reply."""
         self._running.pop(call, None)
         self._metrics.calls.labels(reply.outcome.value).inc()
+        self._record_rate_limit(reply)
         self._record_outcome(call, reply)
         call.finish(reply)
 
+    def _record_rate_limit(self, reply: _call.Reply) -> None:
+        limit_per_s = reply.rate_limit_per_s
+        if limit_per_s is None and reply.outcome not in _STATES_LIMIT:
+            return
+        earlier_per_s = self.rate_limit_per_s
+        if limit_per_s == earlier_per_s:
+            return
+        _LOG.info(
+            "forward: an endpoint changed its request rate limit",
+            extra=observe.fields(
+                endpoint=self.entry.endpoint_id,
+                service=self.entry.service,
+                limit_per_s=limit_per_s,
+                earlier_limit_per_s=earlier_per_s,
+                calls_at_earlier_limit=self._limited_calls,
+            ),
+        )
+        self.rate_limit_per_s = limit_per_s
+        self._limited_calls = 0
+
     # ---- health ----
 
     def _record_outcome(self, call: _call.Call, reply: _call.Reply) -> None:
@@ -432,4 +464,5 @@
             "failure_share": round(self.failure_share, 3),
             "avoided_for_s": round(self.avoided_for_s(now_s), 2),
             "stalled": self.is_stalled(now_s),
+            "rate_limit_per_s": self.rate_limit_per_s,
         }
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -265,17 +265,19 @@
             # it.
             shard.failure = "all endpoints are down"
             self._fail_shard(shard)
-        elif not self._try_call(shard):
+        elif not self._try_call(shard, _call.Cause.FIRST):
             self._schedule_retry(shard, now_s)
 
-    def _try_call(self, shard: _shard.Shard) -> bool:
+    def _try_call(self, shard: _shard.Shard, cause: _call.Cause) -> bool:
         replica = self._context.pool.choose_replica(shard.service, shard.tried)
         if replica is None:
             return False
-        self._submit(shard, replica)
+        self._submit(shard, replica, cause)
         return True
 
-    def _submit(self, shard: _shard.Shard, replica: _replica.Replica) -> None:
+    def _submit(
+        self, shard: _shard.Shard, replica: _replica.Replica, cause: _call.Cause
+    ) -> None:
         call = _call.Call(
             prepared=self._prepared,
             deadline_s=self._deadlines.caller_s,
@@ -284,6 +286,7 @@
             on_finished=self._on_finished,
             service=shard.service,
             route=self._route.name,
+            cause=cause,
         )
         shard.tried.add(replica.entry.endpoint_id)
         shard.ran_on.add(replica.entry.endpoint_id)
@@ -338,7 +341,7 @@
             return
         self._context.metrics.extra_calls.labels("retry").inc()
         self.repeats += 1
-        if not self._try_call(shard):
+        if not self._try_call(shard, _call.Cause.RETRY):
             # Every endpoint was tried. If none ran the request, all of them may
             # be called again a little later.
             if shard.runs == 0:
@@ -369,7 +372,8 @@
             self._check_groups(now_s)
 
     def _retry_now(self, shard: _shard.Shard, now_s: float) -> None:
-        if self._try_call(shard):
+        cause = _call.Cause.RETRY if shard.refusals else _call.Cause.FIRST
+        if self._try_call(shard, cause):
             return
         shard.refusals += 1
         if shard.refusals > MAX_REFUSALS:
@@ -400,7 +404,7 @@
                 shard.failure = ""
                 self._context.metrics.extra_calls.labels("hedge").inc()
                 self.repeats += 1
-                self._submit(shard, replica)
+                self._submit(shard, replica, _call.Cause.HEDGE)
 
     # ---- completion ----
 
--- a/src/geraniumstair/forward/_single.py
+++ b/src/geraniumstair/forward/_single.py
@@ -96,17 +96,17 @@
         if self._route.idempotent:
             delay_ms = self._context.hedge_delays.delay_ms(self._route)
             self._hedge_at_s = now_s + delay_ms / 1000
-        if not self._try_call():
+        if not self._try_call(_call.Cause.FIRST):
             self._retry_at_s = now_s + RETRY_DELAY_S
 
-    def _try_call(self) -> bool:
+    def _try_call(self, cause: _call.Cause) -> bool:
         replica = self._context.pool.choose_replica(self._service, self._tried)
         if replica is None:
             return False
-        self._submit(replica)
+        self._submit(replica, cause)
         return True
 
-    def _submit(self, replica: _replica.Replica) -> None:
+    def _submit(self, replica: _replica.Replica, cause: _call.Cause) -> None:
         call = _call.Call(
             prepared=self._prepared,
             deadline_s=self._deadlines.caller_s,
@@ -115,6 +115,7 @@
             on_finished=self._on_finished,
             service=self._service,
             route=self._route.name,
+            cause=cause,
         )
         self._tried.add(replica.entry.endpoint_id)
         self._runs += 1
@@ -160,7 +161,7 @@
             return
         self._context.metrics.extra_calls.labels("retry").inc()
         self.repeats += 1
-        if not self._try_call():
+        if not self._try_call(_call.Cause.RETRY):
             self._schedule_retry()
 
     def _schedule_retry(self) -> None:
@@ -181,7 +182,7 @@
             self._refusals += 1
             if self._refusals > MAX_REFUSALS:
                 self._fail()
-            elif not self._try_call():
+            elif not self._try_call(_call.Cause.RETRY):
                 self._retry_at_s = now_s + RETRY_DELAY_S
         elif now_s >= self._hedge_at_s:
             self._hedge()
@@ -198,7 +199,7 @@
         ):
             self._context.metrics.extra_calls.labels("hedge").inc()
             self.repeats += 1
-            self._submit(replica)
+            self._submit(replica, _call.Cause.HEDGE)
 
     def _next_wakeup_s(self) -> float:
         return min(self._deadlines.final_s, self._retry_at_s, self._hedge_at_s)
--- a/src/geraniumstair/platform/_http.py
+++ b/src/geraniumstair/platform/_http.py
@@ -1,6 +1,8 @@
 """HTTP headers and statuses of the platform's callers and endpoints."""
 
 import dataclasses
+import logging
+import math
 
 import result
 
@@ -8,6 +10,7 @@
 from geraniumstair import forward
 from geraniumstair import gateway
 
+_LOG = logging.getLogger(__name__)
 _REQUEST_ID = b"x-attempt-id"
 # Time for which the sender still waits, in ms.
 _REMAINING_MS = b"x-time-remaining"
@@ -17,6 +20,8 @@
 _SIGNATURE = b"x-response-stamp"
 # Set by an endpoint that did not run the request.
 _NOT_RUN = b"x-not-executed"
+# Requests a second that the sending endpoint takes from all nodes together.
+_RATE_LIMIT = b"server-limit"
 _PART_SIGNATURES = b"x-part-stamps"
 _MISSING_PARTS = b"x-parts-missing"
 
@@ -66,6 +71,8 @@
 }
 _UNAVAILABLE_STATUS = 503
 _MAX_REMAINING_MS = 3_600_000.0
+_MAX_LOGGED_BYTES = 40
+_MISDIRECTED = forward.Outcome.MISDIRECTED
 
 
 class PlatformCodec:
@@ -179,6 +186,10 @@
 class PlatformDialect:
     """Encodes requests to endpoints and classifies their responses."""
 
+    def __init__(self) -> None:
+        # An endpoint may repeat an invalid limit in each answer.
+        self._last_invalid_limit: bytes | None = None
+
     def prepare(
         self, request: forward.CallerRequest
     ) -> forward.PreparedRequest:
@@ -193,9 +204,30 @@
         if headers.get(_REQUEST_ID, request_id) != request_id:
             return None
         reply = _classify_own(response)
-        if _REQUEST_ID in headers:
-            return reply
-        return dataclasses.replace(reply, names_request=False)
+        if _REQUEST_ID not in headers:
+            reply = dataclasses.replace(reply, names_request=False)
+        if _RATE_LIMIT in headers and reply.outcome is not _MISDIRECTED:
+            reply = dataclasses.replace(
+                reply,
+                rate_limit_per_s=self._parse_rate_limit(headers[_RATE_LIMIT]),
+            )
+        return reply
+
+    def _parse_rate_limit(self, value: bytes) -> float | None:
+        try:
+            limit_per_s = float(value)
+        except ValueError:
+            limit_per_s = math.nan
+        if math.isfinite(limit_per_s) and limit_per_s >= 0:
+            return limit_per_s
+        if value != self._last_invalid_limit:
+            self._last_invalid_limit = value
+            _LOG.warning(
+                "platform: ignored a request rate limit that is not a "
+                "decimal number: %r",
+                value[:_MAX_LOGGED_BYTES],
+            )
+        return None
 
     def idle_limit_s(self, response: endpoint_http.Response) -> float | None:
         """Returns how long the connection may stay idle; None if unknown."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -173,6 +173,30 @@
         )
         self.assertIs(self._classify(encoded).outcome, forward.Outcome.LOST)
 
+    def test_a_stated_rate_limit_is_parsed_and_a_wrong_one_is_logged(
+        self,
+    ) -> None:
+        def classify(value: str) -> forward.Reply | None:
+            return dialect.classify(
+                builders.response(
+                    x_response_stamp="s", x_attempt_id="q1", server_limit=value
+                ),
+                b"q1",
+            )
+
+        dialect = _http.PlatformDialect()
+        self.assertEqual(classify("11.75").rate_limit_per_s, 11.75)
+        self.assertEqual(classify("0").rate_limit_per_s, 0.0)
+        for invalid in ("", "many", "nan", "inf", "-1"):
+            with self.assertLogs(_http.__name__, "WARNING"):
+                self.assertIsNone(classify(invalid).rate_limit_per_s)
+        with self.assertNoLogs(_http.__name__):
+            classify("-1")
+
+    def test_another_endpoint_at_the_address_states_no_limit(self) -> None:
+        misdirected = builders.response(421, server_limit="3")
+        self.assertIsNone(self._classify(misdirected).rate_limit_per_s)
+
     def test_the_idle_limit_is_parsed(self) -> None:
         dialect = _http.PlatformDialect()
         with_limit = builders.response(keep_alive="timeout=5, max=100")
