--- a/tests/test_forward_link.py
+++ b/tests/test_forward_link.py
@@ -1,5 +1,7 @@
 """Tests of connections to endpoints, over socket pairs on the real clock."""
 
+from collections.abc import Sequence
+import functools
 import socket
 import unittest
 
@@ -8,6 +10,8 @@
 
 from geraniumstair import endpoint_http
 from geraniumstair import forward
+from geraniumstair import gateway
+from geraniumstair import routing
 from geraniumstair.forward import _link
 from geraniumstair.platform import _http
 from tests import builders_gateway as builders
@@ -156,6 +160,74 @@
         trio.run(run)
 
 
+class TruncatedHeadTest(unittest.TestCase):
+    """Guards against an answer cut within its head that callers get as 200."""
+
+    _HEAD = _RESPONSE_HEAD % b"q1" + b"Content-Length: 0\r\n\r\n"
+
+    def _forward(
+        self, route: routing.Route, answers: Sequence[bytes]
+    ) -> list[gateway.HttpResponse]:
+        """Returns what callers get from endpoints that send these bytes."""
+        responses = []
+        codec = _http.PlatformCodec()
+        unsent = list(answers)
+
+        async def answer(stream: trio.SocketStream) -> None:
+            async with stream:
+                await stream.receive_some(65536)
+                await stream.send_all(unsent[0])
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                endpoints = await nursery.start(
+                    functools.partial(
+                        trio.serve_tcp, answer, 0, host="127.0.0.1"
+                    )
+                )
+                port = endpoints[0].socket.getsockname()[1]
+                dialect = _http.PlatformDialect()
+                entry = builders.endpoint_entry(address="127.0.0.1", port=port)
+                while unsent:
+                    fixture = builders.ForwarderFixture(
+                        nursery,
+                        [entry],
+                        [route],
+                        site=_link.TcpLinkFactory(dialect),
+                    )
+                    forwarder = forward.Forwarder(
+                        fixture.pool, fixture.budget, dialect, fixture.metrics
+                    )
+                    outcome = await forwarder.forward(
+                        builders.caller_request(), route
+                    )
+                    responses.append(codec.render(outcome))
+                    del unsent[0]
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+        return responses
+
+    def test_no_cut_of_a_head_is_an_answer(self) -> None:
+        # Without the length, the end of the connection would be the end of the
+        # body.
+        for head in (self._HEAD, _RESPONSE_HEAD % b"q1" + b"\r\n"):
+            cuts = [head[:length] for length in range(1, len(head))]
+            for route in (
+                builders.route(idempotent=False),
+                builders.search_route(["s1"], max_attempts=1),
+            ):
+                for response in self._forward(route, cuts):
+                    self.assertIn(response.status, (502, 504))
+                    names = {name.lower() for name, _ in response.headers}
+                    self.assertNotIn(b"x-response-stamp", names)
+
+    def test_the_whole_head_is_an_answer(self) -> None:
+        route = builders.route(idempotent=False)
+        responses = self._forward(route, [self._HEAD])
+        self.assertEqual([r.status for r in responses], [200])
+
+
 class ResponseParserTest(unittest.TestCase):
     """Guards against truncated responses that count as complete."""
 
