--- a/src/geraniumstair/gateway/_application.py
+++ b/src/geraniumstair/gateway/_application.py
@@ -26,6 +26,8 @@
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 RETRY_AFTER_NO_ROUTES_S = 0.3
+# Callers retry on a new connection, which leads to another node.
+RETRY_AFTER_SHUTDOWN_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +107,13 @@
         self._forwarder = forwarder
         self._codec = codec
         self._lifecycle = lifecycle
+        self._running: set[trio.CancelScope] = set()
+
+    async def answer_rest_at_shutdown(self) -> None:
+        """Ends the requests that are in progress shortly before the kill."""
+        await self._lifecycle.wait_for_final_answers()
+        for running in list(self._running):
+            running.cancel()
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -194,13 +203,23 @@
         route: routing.Route,
         receive: Receive,
     ) -> HttpResponse | None:
+        if self._lifecycle.final_answers_due:
+            return self._codec.render(
+                _build_shutdown_refusal(request, not_run=True)
+            )
         outcome: forward.ForwardResult | None = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                _cancel_on_disconnect, receive, nursery.cancel_scope
-            )
-            outcome = await self._forwarder.forward(request, route)
-            nursery.cancel_scope.cancel()
+            self._running.add(nursery.cancel_scope)
+            try:
+                nursery.start_soon(
+                    _cancel_on_disconnect, receive, nursery.cancel_scope
+                )
+                outcome = await self._forwarder.forward(request, route)
+                nursery.cancel_scope.cancel()
+            finally:
+                self._running.discard(nursery.cancel_scope)
+        if outcome is None and self._lifecycle.final_answers_due:
+            outcome = _build_shutdown_refusal(request, not_run=False)
         if outcome is None:
             _LOG.info(
                 "gateway: the caller disconnected before the response",
@@ -283,6 +302,23 @@
     return forward.Refused(forward.RefusalReason.NO_ROUTE, True, None, detail)
 
 
+def _build_shutdown_refusal(
+    request: forward.CallerRequest, *, not_run: bool
+) -> forward.Refused:
+    _LOG.info(
+        "gateway: ended a request because the node stops",
+        extra=observe.fields(
+            request_id=request.request_id.decode("latin-1"), not_run=not_run
+        ),
+    )
+    return forward.Refused(
+        forward.RefusalReason.TIMEOUT,
+        not_run,
+        RETRY_AFTER_SHUTDOWN_S if not_run else None,
+        "the node stops",
+    )
+
+
 def _build_request_head(scope: Scope) -> RequestHead:
     path = scope["raw_path"]
     query = scope["query_string"]
--- a/src/geraniumstair/gateway/_lifecycle.py
+++ b/src/geraniumstair/gateway/_lifecycle.py
@@ -9,9 +9,12 @@
 # load balancer checks readiness each second and sends new connections until two
 # checks have failed; the listener stays open a little longer.
 ACCEPT_GRACE_SHARE = 0.45
-# Share of the grace time that is reserved at its end for closing, which takes a
-# node with half a core up to a second.
-CLOSE_GRACE_SHARE = 0.2
+# Share of the grace time after which requests in progress get a final answer.
+# Endpoints may work on them until five sixths of it have passed.
+FINAL_ANSWER_GRACE_SHARE = 0.85
+# Share of the grace time that is reserved at its end for closing. With requests
+# in progress until then, a node with half a core needs half a second.
+CLOSE_GRACE_SHARE = 0.12
 
 
 class Lifecycle:
@@ -28,6 +31,7 @@
         self._grace_s = grace_s
         self._stopping_at_s: float | None = None
         self._listener_close = trio.Event()
+        self._stop_started = trio.Event()
         self.loaded = False
 
     @property
@@ -45,6 +49,23 @@
         """Time for requests in progress after the listener has closed."""
         return self._grace_s * (1 - ACCEPT_GRACE_SHARE - CLOSE_GRACE_SHARE)
 
+    @property
+    def final_answers_due(self) -> bool:
+        """True if requests in progress must be answered now."""
+        return (
+            self._stopping_at_s is not None
+            and trio.current_time() >= self._compute_final_answers_at_s()
+        )
+
+    def _compute_final_answers_at_s(self) -> float:
+        assert self._stopping_at_s is not None
+        return self._stopping_at_s + self._grace_s * FINAL_ANSWER_GRACE_SHARE
+
+    async def wait_for_final_answers(self) -> None:
+        """Waits until requests in progress must be answered."""
+        await self._stop_started.wait()
+        await trio.sleep_until(self._compute_final_answers_at_s())
+
     async def wait_for_listener_close(self) -> None:
         """Waits until the listener for callers has to close."""
         await self._listener_close.wait()
@@ -54,6 +75,7 @@
         if self._stopping_at_s is not None:
             return
         self._stopping_at_s = trio.current_time()
+        self._stop_started.set()
         _LOG.info("gateway: shutting down within %.1f s", self._grace_s)
         await trio.sleep(self._grace_s * ACCEPT_GRACE_SHARE)
         self._listener_close.set()
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -241,6 +241,7 @@
             self._rollouts.run,
             self._run_network,
             self._reload_loop,
+            application.answer_rest_at_shutdown,
         ):
             nursery.start_soon(task)
         nursery.start_soon(self._serve_readiness, settings.readiness)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -285,7 +285,14 @@
             accepting_s = trio.current_time() - started_s
             # The load balancer needs two failed checks, a second apart.
             self.assertGreater(accepting_s, 2.0)
-            self.assertLess(accepting_s + lifecycle.drain_timeout_s, 6.0)
+            drained_s = accepting_s + lifecycle.drain_timeout_s
+            self.assertLess(drained_s, 6.0)
+            # Endpoints may work on requests until then.
+            self.assertGreaterEqual(drained_s, 6.0 * 5 / 6)
+            await lifecycle.wait_for_final_answers()
+            answers_s = trio.current_time() - started_s
+            self.assertGreaterEqual(answers_s, 6.0 * 5 / 6)
+            self.assertLess(answers_s, drained_s)
 
         builders.run_on_virtual_clock(test)
 
@@ -369,6 +376,75 @@
         self.assertEqual(sent[0]["status"], 200)
         self.assertEqual(dict(sent[0]["headers"])[b"content-length"], b"0")
 
+    def _stop_during_request(self, *, endpoint_s: float, idempotent: bool):
+        """Returns what a caller gets 2.9 s after the signal, and when."""
+        sent = []
+
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.route(
+                idempotent=idempotent, max_attempts=1, timeout_ms=10_000.0
+            )
+            fixture = builders.ForwarderFixture(
+                nursery, [builders.endpoint_entry("x")], [route]
+            )
+            fixture.site.behaviour("x").delay_s = endpoint_s
+            lifecycle = gateway.Lifecycle(6.0)
+            application = gateway.CallerApplication(
+                _State(
+                    routing.RouteTable(1, [route], {}, routing.CallerLimits())
+                ),
+                fixture.forwarder,
+                _http.PlatformCodec(),
+                lifecycle,
+            )
+            nursery.start_soon(application.answer_rest_at_shutdown)
+            started_s = trio.current_time()
+            nursery.start_soon(lifecycle.stop)
+            await trio.sleep(2.9)
+            pending_messages = list(self._WHOLE)
+
+            async def receive():
+                if pending_messages:
+                    return pending_messages.pop(0)
+                return await trio.sleep_forever()
+
+            async def send(message):
+                sent.append((trio.current_time() - started_s, message))
+
+            scope = {
+                "type": "http",
+                "method": "POST",
+                "raw_path": b"/p/x",
+                "query_string": b"",
+                "headers": [(b"host", b"h.example"), (b"x-attempt-id", b"q1")],
+            }
+            # The nursery of the server ends its connections at this time.
+            with trio.move_on_at(
+                started_s + 6.0 * 0.45 + lifecycle.drain_timeout_s
+            ):
+                await application(scope, receive, send)
+
+        builders.run_on_virtual_clock(test)
+        return sent
+
+    def test_a_late_request_in_a_planned_stop_is_not_cut_without_an_answer(
+        self,
+    ) -> None:
+        for idempotent in (True, False):
+            sent = self._stop_during_request(
+                endpoint_s=9.0, idempotent=idempotent
+            )
+            self.assertEqual(len(sent), 2)
+            # The endpoint may have run the request.
+            self.assertEqual(sent[0][1]["status"], 504)
+            self.assertGreaterEqual(sent[0][0], 6.0 * 5 / 6)
+
+    def test_an_endpoint_may_answer_until_five_sixths_of_the_grace_time(
+        self,
+    ) -> None:
+        sent = self._stop_during_request(endpoint_s=2.0, idempotent=False)
+        self.assertEqual(sent[0][1]["status"], 200)
+
     def test_nothing_is_sent_to_a_disconnected_caller(self) -> None:
         disconnect = {"type": "http.disconnect"}
         self.assertEqual(self._serve(self._table(), [disconnect]), [])
