--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -444,6 +444,7 @@
         return self._stated_limits.find_bucket(
             replica.entry,
             replica.rate_limit_per_s,
+            replica.limited_since_s,
             now_s,
             grouped=replica.entry.service in self._grouped_services,
         )
--- a/src/geraniumstair/forward/_rates.py
+++ b/src/geraniumstair/forward/_rates.py
@@ -39,14 +39,14 @@
 
     Args:
         per_s: Requests a second.
-        now_s: Time of creation, on a monotonic clock.
-        tokens: Requests that may be sent at once at first.
+        since_s: When tokens are gained first, on a monotonic clock.
+        tokens: Requests that may be sent at that time.
     """
 
-    def __init__(self, per_s: float, now_s: float, tokens: float) -> None:
+    def __init__(self, per_s: float, since_s: float, tokens: float) -> None:
         self._per_s = per_s
         self._tokens = tokens
-        self._refilled_at_s = now_s
+        self._refilled_at_s = since_s
 
     def set_rate(self, per_s: float, now_s: float) -> None:
         """Changes the rate; tokens that were gained before are kept."""
@@ -168,6 +168,7 @@
         self,
         entry: discovery.EndpointEntry,
         limit_per_s: float | None,
+        limited_since_s: float,
         now_s: float,
         *,
         grouped: bool,
@@ -177,6 +178,7 @@
         Args:
             entry: The endpoint.
             limit_per_s: The limit that it states.
+            limited_since_s: When this node first saw a limit.
             now_s: Present time, on a monotonic clock.
             grouped: Only nodes that call shards for others call it.
         """
@@ -198,7 +200,7 @@
         if known is None:
             # All nodes see a limit at about the same time, so none of them
             # starts with a token.
-            bucket = TokenBucket(rate_per_s, now_s, 0.0)
+            bucket = TokenBucket(rate_per_s, limited_since_s, 0.0)
         else:
             bucket = known[1]
             bucket.set_rate(rate_per_s, now_s)
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -5,6 +5,7 @@
 import heapq
 import itertools
 import logging
+import math
 from typing import Any
 from typing import Protocol
 
@@ -49,8 +50,8 @@
 # call that has already lasted this long when it is abandoned is aborted at
 # once, because it would keep a slot from calls that somebody waits for.
 ABANDONED_LIMIT_S = 0.35
-# An answer of these kinds without a limit shows that the endpoint has none.
-_STATES_LIMIT = frozenset([_call.Outcome.ANSWERED, _call.Outcome.FAILED])
+# Least time between two log lines about the value of an endpoint's limit.
+LIMIT_LOG_INTERVAL_S = 1.0
 
 
 class Spawner(Protocol):
@@ -87,6 +88,7 @@
             has ended, whatever its registration still says.
         rate_limit_per_s: Requests a second that the endpoint accepts from all
             nodes together, as its last answer states; None without a limit.
+        limited_since_s: When the first answer with a limit arrived.
     """
 
     def __init__(
@@ -124,7 +126,11 @@
         self._closed = False
         self.address_reused = False
         self.rate_limit_per_s: float | None = None
-        # Calls sent while the endpoint stated a limit, for the log.
+        self.limited_since_s = 0.0
+        # For the log: when the limit was last logged, its value then, and the
+        # calls since.
+        self._limit_logged_at_s = -math.inf
+        self._logged_limit_per_s: float | None = None
         self._limited_calls = 0
 
     # ---- state for load balancing ----
@@ -386,22 +392,36 @@
 
     def _record_rate_limit(self, reply: _call.Reply) -> None:
         limit_per_s = reply.rate_limit_per_s
-        if limit_per_s is None and reply.outcome not in _STATES_LIMIT:
+        # A failure or a refusal without a limit does not end it.
+        if limit_per_s is None and reply.outcome is not _call.Outcome.ANSWERED:
             return
-        earlier_per_s = self.rate_limit_per_s
-        if limit_per_s == earlier_per_s:
+        if limit_per_s == self.rate_limit_per_s:
             return
+        now_s = trio.current_time()
+        began_or_ended = None in (limit_per_s, self.rate_limit_per_s)
+        if self.rate_limit_per_s is None:
+            self.limited_since_s = now_s
+        self.rate_limit_per_s = limit_per_s
+        # An endpoint may state another value in each answer.
+        if (
+            began_or_ended
+            or now_s >= self._limit_logged_at_s + LIMIT_LOG_INTERVAL_S
+        ):
+            self._log_rate_limit(now_s)
+
+    def _log_rate_limit(self, now_s: float) -> None:
         _LOG.info(
             "forward: an endpoint changed its request rate limit",
             extra=observe.fields(
                 endpoint=self.entry.endpoint_id,
                 service=self.entry.service,
-                limit_per_s=limit_per_s,
-                earlier_limit_per_s=earlier_per_s,
+                limit_per_s=self.rate_limit_per_s,
+                earlier_limit_per_s=self._logged_limit_per_s,
                 calls_at_earlier_limit=self._limited_calls,
             ),
         )
-        self.rate_limit_per_s = limit_per_s
+        self._limit_logged_at_s = now_s
+        self._logged_limit_per_s = self.rate_limit_per_s
         self._limited_calls = 0
 
     # ---- health ----
--- a/tests/test_forward_rates.py
+++ b/tests/test_forward_rates.py
@@ -97,7 +97,11 @@
     def find_bucket(self, node: _Node) -> forward.TokenBucket:
         """Returns the bucket of a node."""
         bucket = node.rates.find_bucket(
-            self._entry, self.limit_per_s, self.now_s, grouped=False
+            self._entry,
+            self.limit_per_s,
+            self.now_s,
+            self.now_s,
+            grouped=False,
         )
         assert bucket is not None
         return bucket
@@ -403,3 +407,50 @@
                 self.assertIsInstance(await send(), forward.SingleResult)
 
         builders.run_on_virtual_clock(test)
+
+    def test_a_failure_without_a_limit_does_not_end_it(self) -> None:
+        # Otherwise an endpoint in need that also fails gets every call.
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.route(max_attempts=1)
+            fixture = builders.ForwarderFixture(
+                nursery, [builders.endpoint_entry("x")], [route]
+            )
+            answer = builders.endpoint_reply(signature=b"")
+            limited = dataclasses.replace(answer, rate_limit_per_s=1.0)
+            failure = forward.Reply(forward.Outcome.FAILED, "", 500)
+            for reply in (limited, failure):
+                fixture.site.behaviour("x").reply = reply
+                outcome = await fixture.forwarder.forward(
+                    builders.caller_request(), route
+                )
+                self.assertIsInstance(outcome, forward.SingleResult)
+                await trio.sleep(1.01 if reply is limited else 0.1)
+            outcome = await fixture.forwarder.forward(
+                builders.caller_request(), route
+            )
+            self.assertIsInstance(outcome, forward.Refused)
+
+        builders.run_on_virtual_clock(test)
+
+    def test_a_limit_that_varies_is_logged_once_a_second(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.route()
+            fixture = builders.ForwarderFixture(
+                nursery, [builders.endpoint_entry("x")], [route]
+            )
+            behaviour = fixture.site.behaviour("x")
+            for number in range(100):
+                behaviour.reply = dataclasses.replace(
+                    builders.endpoint_reply(signature=b""),
+                    rate_limit_per_s=1000.0 + number,
+                )
+                await fixture.forwarder.forward(
+                    builders.caller_request(), route
+                )
+                await trio.sleep(0.02)
+
+        with self.assertLogs("geraniumstair.forward", "INFO") as logs:
+            builders.run_on_virtual_clock(test)
+        changes = [line for line in logs.output if "rate limit" in line]
+        # The load takes three seconds.
+        self.assertLessEqual(len(changes), 4)
