--- a/src/geraniumstair/forward/__init__.py
+++ b/src/geraniumstair/forward/__init__.py
@@ -25,6 +25,7 @@
 from geraniumstair.forward._link import TcpLinkFactory
 from geraniumstair.forward._metrics import ForwardMetrics
 from geraniumstair.forward._parts_server import PartsServer
+from geraniumstair.forward._rates import RateLimit
 from geraniumstair.forward._rates import StatedLimits
 from geraniumstair.forward._rates import TokenBucket
 from geraniumstair.forward._records import RECORD_BYTES
@@ -56,6 +57,7 @@
     "PartsServer",
     "PoolSettings",
     "PreparedRequest",
+    "RateLimit",
     "RefusalReason",
     "Refused",
     "Replica",
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -107,7 +107,7 @@
             )
         }
         self._stated_limits = _rates.StatedLimits(
-            settings.node_id, self._node_infos
+            settings.node_id, self._node_infos, rng
         )
         # Includes former members for `MEMBER_RETENTION_S`.
         self._recent_members: Sequence[str] = (settings.node_id,)
@@ -375,7 +375,7 @@
         if best is None or (only_healthy and best_cost[0] > 0):
             return None
         for limit in self._find_rate_limits(best, now_s):
-            limit.consume()
+            limit.consume(now_s)
         gate = self._versions.find_gate(service)
         if gate is not None:
             gate.count_request(best.entry.version)
@@ -431,7 +431,7 @@
 
     def _find_rate_limits(
         self, replica: _replica.Replica, now_s: float
-    ) -> Iterable[_rates.TokenBucket]:
+    ) -> Iterable[_rates.RateLimit]:
         limits = (
             self._get_cold_limit(replica, now_s),
             self._find_stated_limit(replica, now_s),
@@ -440,8 +440,8 @@
 
     def _find_stated_limit(
         self, replica: _replica.Replica, now_s: float
-    ) -> _rates.TokenBucket | None:
-        return self._stated_limits.find_bucket(
+    ) -> _rates.RateLimit | None:
+        return self._stated_limits.find_limit(
             replica.entry,
             replica.rate_limit_per_s,
             replica.limited_since_s,
--- a/src/geraniumstair/forward/_rates.py
+++ b/src/geraniumstair/forward/_rates.py
@@ -5,27 +5,36 @@
 one computes the same parts from the same members, so the sum holds whichever
 nodes run, and a node that is cut off keeps to its part.
 
-Only as many nodes as the rate allows one request a second each get a full part.
-A part below that would be saved up by many nodes, and used by all of them at
-once when more callers arrive.
+Only as many nodes as the rate allows about one request a second each get a full
+part. A part below that would be saved up by many nodes, and used by all of them
+at once when more callers arrive.
 """
 
 from collections.abc import Collection
 from collections.abc import Mapping
+import dataclasses
 import math
+import random
+from typing import Protocol
 
 import xxhash
 
 from geraniumstair import discovery
 from geraniumstair.forward import _delegation_nodes
 
-# Least request rate of a node with a full part.
+# Least request rate of a node with a full part of the rate of a cold endpoint.
 MIN_NODE_RATE_PER_S = 1.0
 # Tokens that a node can save, as the time in which it gains them.
 BURST_S = 0.25
+# Nodes with a full part of a stated limit, as a number for each request a
+# second and a number besides. Each of them can save one token.
+FULL_PARTS_PER_RATE = 0.5
+MIN_FULL_PARTS = 3
 # Share of a stated limit for the nodes without a full part. Their calls show
 # them when the limit ends.
-OTHER_NODES_SHARE = 0.2
+OTHER_NODES_SHARE = 0.1
+# Time in which such a node may send one request, before it waits again.
+PROBE_WINDOW_S = 1.0
 # A node in the availability zone of an endpoint gets this many times the part
 # of a node in another zone, which prefers other endpoints.
 SAME_ZONE_WEIGHT = 4.0
@@ -34,9 +43,33 @@
 MIN_LIMIT_PER_S = 0.25
 
 
-class TokenBucket:
+class RateLimit(Protocol):
     """Limits the rate of this node's requests to one endpoint.
 
+    Attributes:
+        per_s: Requests a second.
+    """
+
+    per_s: float
+
+    def set_rate(self, per_s: float, now_s: float) -> None:
+        """Changes the rate."""
+
+    def has_token(self, now_s: float) -> bool:
+        """Returns whether a request may be sent."""
+        ...
+
+    def consume(self, now_s: float) -> None:
+        """Records a request."""
+
+    def wait_s(self, now_s: float) -> float:
+        """Returns the time until a request may be sent; infinite for never."""
+        ...
+
+
+class TokenBucket:
+    """A rate limit whose unused requests may be sent a little later.
+
     Args:
         per_s: Requests a second.
         since_s: When tokens are gained first, on a monotonic clock.
@@ -44,22 +77,23 @@
     """
 
     def __init__(self, per_s: float, since_s: float, tokens: float) -> None:
-        self._per_s = per_s
+        self.per_s = per_s
         self._tokens = tokens
         self._refilled_at_s = since_s
 
     def set_rate(self, per_s: float, now_s: float) -> None:
         """Changes the rate; tokens that were gained before are kept."""
         self._refill(now_s)
-        self._per_s = per_s
+        self.per_s = per_s
 
     def has_token(self, now_s: float) -> bool:
         """Returns whether a request may be sent."""
         self._refill(now_s)
         return self._tokens >= 1
 
-    def consume(self) -> None:
+    def consume(self, now_s: float) -> None:
         """Records a request."""
+        self._refill(now_s)
         self._tokens -= 1
 
     def wait_s(self, now_s: float) -> float:
@@ -68,15 +102,61 @@
         missing = 1 - self._tokens
         if missing <= 0:
             return 0.0
-        return missing / self._per_s if self._per_s > 0 else math.inf
+        return missing / self.per_s if self.per_s > 0 else math.inf
 
     def _refill(self, now_s: float) -> None:
-        gained = (now_s - self._refilled_at_s) * self._per_s
+        gained = (now_s - self._refilled_at_s) * self.per_s
         self._refilled_at_s = now_s
-        capacity = max(1.0, self._per_s * BURST_S)
+        capacity = max(1.0, self.per_s * BURST_S)
         self._tokens = min(capacity, self._tokens + gained)
 
 
+class ProbeWindows:
+    """A rate limit that allows single requests at random times.
+
+    A window that passes without a request is lost. So many nodes without
+    requests do not save them up for the same moment.
+
+    Args:
+        per_s: Windows a second; more than 0.
+        since_s: When the wait for the first window starts, on a monotonic
+            clock.
+        rng: Chooses the times.
+    """
+
+    def __init__(
+        self, per_s: float, since_s: float, rng: random.Random
+    ) -> None:
+        self.per_s = per_s
+        self._rng = rng
+        self._opens_at_s = since_s + rng.expovariate(per_s)
+
+    def set_rate(self, per_s: float, now_s: float) -> None:
+        """Changes the rate."""
+        self.per_s = per_s
+        if not self.has_token(now_s):
+            self._opens_at_s = now_s + self._rng.expovariate(per_s)
+
+    def has_token(self, now_s: float) -> bool:
+        """Returns whether a request may be sent."""
+        self._skip_passed_windows(now_s)
+        return now_s >= self._opens_at_s
+
+    def consume(self, now_s: float) -> None:
+        """Records a request."""
+        self._opens_at_s = now_s + self._rng.expovariate(self.per_s)
+
+    def wait_s(self, now_s: float) -> float:
+        """Returns the time until a request may be sent."""
+        self._skip_passed_windows(now_s)
+        return max(0.0, self._opens_at_s - now_s)
+
+    def _skip_passed_windows(self, now_s: float) -> None:
+        while now_s >= self._opens_at_s + PROBE_WINDOW_S:
+            self._opens_at_s += PROBE_WINDOW_S
+            self._opens_at_s += self._rng.expovariate(self.per_s)
+
+
 def compute_cold_rate_per_s(
     node_id: str, endpoint_id: str, usable_per_s: float, nodes: Collection[str]
 ) -> float:
@@ -89,18 +169,31 @@
         nodes: All nodes that may call the endpoint.
     """
     ranked = sorted(nodes, key=lambda n: _hash(endpoint_id, n))
-    full = ranked[: _count_full_parts(usable_per_s)]
+    full = ranked[: max(1, int(usable_per_s / MIN_NODE_RATE_PER_S))]
     return usable_per_s / len(full) if node_id in full else 0.0
 
 
-def compute_limited_rate_per_s(
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitPart:
+    """A node's part of the limit that an endpoint states.
+
+    Attributes:
+        per_s: Requests a second.
+        full: The node may save up requests; others only probe the endpoint.
+    """
+
+    per_s: float
+    full: bool
+
+
+def compute_limit_part(
     node_id: str,
     endpoint_id: str,
     availability_zone: str,
     limit_per_s: float,
     nodes: Mapping[str, _delegation_nodes.NodeInfo],
     callers: Collection[str],
-) -> float:
+) -> LimitPart:
     """Returns this node's part of the limit that an endpoint states.
 
     Args:
@@ -124,30 +217,52 @@
             _hash(endpoint_id, n),
         ),
     )
-    full = ranked[: _count_full_parts(limit_per_s)]
+    full = ranked[: int(limit_per_s * FULL_PARTS_PER_RATE) + MIN_FULL_PARTS]
     other_count = len(ranked) - len(full)
     if node_id not in full:
-        return limit_per_s * OTHER_NODES_SHARE / other_count
+        return LimitPart(limit_per_s * OTHER_NODES_SHARE / other_count, False)
     weights = {n: SAME_ZONE_WEIGHT if is_in_zone(n) else 1.0 for n in full}
     share = 1.0 - OTHER_NODES_SHARE if other_count else 1.0
-    return limit_per_s * share * weights[node_id] / sum(weights.values())
+    part_per_s = limit_per_s * share * weights[node_id] / sum(weights.values())
+    return LimitPart(part_per_s, True)
+
+
+@dataclasses.dataclass(slots=True)
+class _Limited:
+    """An endpoint that states a limit.
+
+    Attributes:
+        stated_per_s: The limit for which the part was computed; None if the
+            nodes have changed since.
+        part: This node's part.
+        limit: Limits this node's requests to the part.
+    """
+
+    stated_per_s: float | None
+    part: LimitPart
+    limit: RateLimit
 
 
 class StatedLimits:
-    """This node's token buckets for the endpoints that state a limit.
+    """This node's rate limits for the endpoints that state a limit.
 
     Args:
         node_id: This node.
         nodes: All nodes of the site, this one included.
+        rng: Chooses when a node without a full part sends a request.
     """
 
     def __init__(
-        self, node_id: str, nodes: Mapping[str, _delegation_nodes.NodeInfo]
+        self,
+        node_id: str,
+        nodes: Mapping[str, _delegation_nodes.NodeInfo],
+        rng: random.Random,
     ) -> None:
         self._node_id = node_id
         self._nodes = nodes
+        self._rng = rng
         self._delegation_nodes: frozenset[str] = frozenset()
-        self._buckets: dict[str, tuple[float, TokenBucket]] = {}
+        self._limited: dict[str, _Limited] = {}
 
     def set_nodes(
         self, nodes: Mapping[str, _delegation_nodes.NodeInfo]
@@ -158,13 +273,11 @@
         self._delegation_nodes = frozenset(
             node_id for node_ids in selected.values() for node_id in node_ids
         )
-        # The rates are computed again when they are needed.
-        self._buckets = {
-            endpoint_id: (-1.0, bucket)
-            for endpoint_id, (_, bucket) in self._buckets.items()
-        }
+        # The parts are computed again when they are needed.
+        for limited in self._limited.values():
+            limited.stated_per_s = None
 
-    def find_bucket(
+    def find_limit(
         self,
         entry: discovery.EndpointEntry,
         limit_per_s: float | None,
@@ -172,8 +285,8 @@
         now_s: float,
         *,
         grouped: bool,
-    ) -> TokenBucket | None:
-        """Returns the bucket of an endpoint; None if it states no limit.
+    ) -> RateLimit | None:
+        """Returns the rate limit for an endpoint; None if it states none.
 
         Args:
             entry: The endpoint.
@@ -184,12 +297,12 @@
         """
         endpoint_id = entry.endpoint_id
         if limit_per_s is None:
-            self._buckets.pop(endpoint_id, None)
+            self._limited.pop(endpoint_id, None)
             return None
-        known = self._buckets.get(endpoint_id)
-        if known is not None and known[0] == limit_per_s:
-            return known[1]
-        rate_per_s = compute_limited_rate_per_s(
+        known = self._limited.get(endpoint_id)
+        if known is not None and known.stated_per_s == limit_per_s:
+            return known.limit
+        part = compute_limit_part(
             self._node_id,
             endpoint_id,
             entry.availability_zone,
@@ -198,23 +311,26 @@
             self._delegation_nodes if grouped else self._nodes,
         )
         if known is None:
-            # All nodes see a limit at about the same time, so none of them
-            # starts with a token.
-            bucket = TokenBucket(rate_per_s, limited_since_s, 0.0)
+            limit = self._build_limit(part, limited_since_s)
+        elif known.part.full != part.full:
+            limit = self._build_limit(part, now_s)
         else:
-            bucket = known[1]
-            bucket.set_rate(rate_per_s, now_s)
-        self._buckets[endpoint_id] = (limit_per_s, bucket)
-        return bucket
+            limit = known.limit
+            limit.set_rate(part.per_s, now_s)
+        self._limited[endpoint_id] = _Limited(limit_per_s, part, limit)
+        return limit
+
+    def _build_limit(self, part: LimitPart, since_s: float) -> RateLimit:
+        if not part.full:
+            return ProbeWindows(part.per_s, since_s, self._rng)
+        # All nodes see a limit at about the same time, so none of them starts
+        # with a token.
+        return TokenBucket(part.per_s, since_s, 0.0)
 
     def forget_unknown(self, known_ids: Collection[str]) -> None:
-        """Drops the buckets of endpoints that do not exist any more."""
-        for endpoint_id in self._buckets.keys() - set(known_ids):
-            del self._buckets[endpoint_id]
-
-
-def _count_full_parts(per_s: float) -> int:
-    return max(1, int(per_s / MIN_NODE_RATE_PER_S))
+        """Drops the limits of endpoints that do not exist any more."""
+        for endpoint_id in self._limited.keys() - set(known_ids):
+            del self._limited[endpoint_id]
 
 
 def _hash(endpoint_id: str, node_id: str) -> int:
--- a/tests/test_forward_rates.py
+++ b/tests/test_forward_rates.py
@@ -1,5 +1,6 @@
 """Checks what all nodes together send to endpoints that state a limit."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
@@ -28,6 +29,8 @@
 SEARCHES_PER_S = 45.0
 NODE_SHARES = (0.4, 0.2, 0.15, 0.1, 0.05, 0.05, 0.05)
 LIMIT_PER_S = 12.0
+# Time until the answer to a request shows a node the endpoint's limit.
+ANSWER_S = 0.05
 SIMULATED_S = 20.0
 LATENCY_GOAL_MS = 183.0
 EARLY_SHARE = 0.25
@@ -52,11 +55,13 @@
     Attributes:
         rates: Its decisions.
         wants_per_s: Requests a second that it has for the endpoint.
+        limit_per_s: The limit that the endpoint's last answer stated.
         running: False while it is stopped or frozen.
     """
 
     rates: forward.StatedLimits
     wants_per_s: float
+    limit_per_s: float
     running: bool = True
 
 
@@ -80,6 +85,10 @@
         }
         self._entry = builders.endpoint_entry("x", availability_zone="a")
         self._rng = random.Random(size)
+        # Answers on their way: time of arrival, node and stated limit.
+        self._answers: collections.deque[tuple[float, _Node, float]] = (
+            collections.deque()
+        )
         # A few nodes have most of the callers.
         weights = [1 / (1 + i) for i in range(size)]
         self.nodes = {
@@ -89,22 +98,23 @@
 
     def build_node(self, name: str, wants_per_s: float) -> _Node:
         """Returns a node that knows all members and has just been told."""
-        node = _Node(forward.StatedLimits(name, self.infos), wants_per_s)
+        rates = forward.StatedLimits(name, self.infos, self._rng)
+        node = _Node(rates, wants_per_s, self.limit_per_s)
         node.rates.set_nodes(self.infos)
-        self.find_bucket(node)
+        self.find_limit(node)
         return node
 
-    def find_bucket(self, node: _Node) -> forward.TokenBucket:
-        """Returns the bucket of a node."""
-        bucket = node.rates.find_bucket(
+    def find_limit(self, node: _Node) -> forward.RateLimit:
+        """Returns the rate limit of a node."""
+        limit = node.rates.find_limit(
             self._entry,
-            self.limit_per_s,
+            node.limit_per_s,
             self.now_s,
             self.now_s,
             grouped=False,
         )
-        assert bucket is not None
-        return bucket
+        assert limit is not None
+        return limit
 
     def set_wants(self, wants_per_s: float) -> None:
         """Changes the requests a second of all nodes, in proportion."""
@@ -117,15 +127,29 @@
         step_s = 0.01
         for _ in range(round(duration_s / step_s)):
             self.now_s += step_s
+            self._deliver_answers()
             for node in self.nodes.values():
                 if not node.running:
                     continue
                 if self._rng.random() >= node.wants_per_s * step_s:
                     continue
-                bucket = self.find_bucket(node)
-                if bucket.has_token(self.now_s):
-                    bucket.consume()
+                limit = self.find_limit(node)
+                if limit.has_token(self.now_s):
+                    limit.consume(self.now_s)
                     self.sent_s.append(self.now_s)
+                    self._answers.append(
+                        (self.now_s + ANSWER_S, node, self.limit_per_s)
+                    )
+
+    def skip(self, duration_s: float) -> None:
+        """Lets time pass without requests."""
+        self.now_s += duration_s
+        self._deliver_answers()
+
+    def _deliver_answers(self) -> None:
+        while self._answers and self._answers[0][0] <= self.now_s:
+            _, node, limit_per_s = self._answers.popleft()
+            node.limit_per_s = limit_per_s
 
     def excess(self) -> float:
         """Returns the excess of the worst window."""
@@ -137,17 +161,16 @@
 
     def _for_each_site(self, check: Callable[[int, float], None]) -> None:
         for size in (1, SMALL_SITE, LARGE_SITE):
-            for limit_per_s in (0.5, 2.0, LIMIT_PER_S):
+            for limit_per_s in (0.5, 2.0, LIMIT_PER_S, 50.0):
                 with self.subTest(size=size, limit_per_s=limit_per_s):
                     check(size, limit_per_s)
 
     def test_the_parts_of_all_nodes_add_up_to_the_limit(self) -> None:
         def check(size: int, limit_per_s: float) -> None:
             site = _Site(size, limit_per_s, 1.0)
-            total = 0.0
-            for node in site.nodes.values():
-                bucket = site.find_bucket(node)
-                total += 1 / bucket.wait_s(site.now_s)
+            total = sum(
+                site.find_limit(node).per_s for node in site.nodes.values()
+            )
             self.assertAlmostEqual(total, limit_per_s, places=6)
 
         self._for_each_site(check)
@@ -170,6 +193,17 @@
 
         self._for_each_site(check)
 
+    def test_a_burst_after_minutes_without_requests(self) -> None:
+        # Many small parts must not be saved up and used at once.
+        def check(size: int, limit_per_s: float) -> None:
+            site = _Site(size, limit_per_s, 20 * limit_per_s)
+            for _ in range(3):
+                site.skip(600)
+                site.run(5)
+            self.assertLessEqual(site.excess(), 0)
+
+        self._for_each_site(check)
+
     def test_nodes_restart_one_after_the_other(self) -> None:
         def check(size: int, limit_per_s: float) -> None:
             site = _Site(size, limit_per_s, 10 * limit_per_s)
