--- a/src/geraniumstair/forward/_rates.py
+++ b/src/geraniumstair/forward/_rates.py
@@ -5,9 +5,9 @@
 one computes the same parts from the same members, so the sum holds whichever
 nodes run, and a node that is cut off keeps to its part.
 
-Only as many nodes as the rate allows about one request a second each get a full
-part. A part below that would be saved up by many nodes, and used by all of them
-at once when more callers arrive.
+Only a number of nodes in proportion to the rate get a full part. Small parts
+would be saved up by many nodes, and used by all of them at once when more
+callers arrive.
 """
 
 from collections.abc import Collection
@@ -22,14 +22,12 @@
 from geraniumstair import discovery
 from geraniumstair.forward import _delegation_nodes
 
-# Least request rate of a node with a full part of the rate of a cold endpoint.
-MIN_NODE_RATE_PER_S = 1.0
-# Tokens that a node can save, as the time in which it gains them.
-BURST_S = 0.25
-# Nodes with a full part of a stated limit, as a number for each request a
-# second and a number besides. Each of them can save one token.
+# Nodes with a full part of a rate, as a number for each request a second and a
+# number besides. Each of them can save one token.
 FULL_PARTS_PER_RATE = 0.5
 MIN_FULL_PARTS = 3
+# Tokens that a node can save, as the time in which it gains them.
+BURST_S = 0.25
 # Share of a stated limit for the nodes without a full part. Their calls show
 # them when the limit ends.
 OTHER_NODES_SHARE = 0.1
@@ -169,7 +167,7 @@
         nodes: All nodes that may call the endpoint.
     """
     ranked = sorted(nodes, key=lambda n: _hash(endpoint_id, n))
-    full = ranked[: max(1, int(usable_per_s / MIN_NODE_RATE_PER_S))]
+    full = ranked[: _count_full_parts(usable_per_s)]
     return usable_per_s / len(full) if node_id in full else 0.0
 
 
@@ -217,7 +215,7 @@
             _hash(endpoint_id, n),
         ),
     )
-    full = ranked[: int(limit_per_s * FULL_PARTS_PER_RATE) + MIN_FULL_PARTS]
+    full = ranked[: _count_full_parts(limit_per_s)]
     other_count = len(ranked) - len(full)
     if node_id not in full:
         return LimitPart(limit_per_s * OTHER_NODES_SHARE / other_count, False)
@@ -333,5 +331,9 @@
             del self._limited[endpoint_id]
 
 
+def _count_full_parts(per_s: float) -> int:
+    return int(per_s * FULL_PARTS_PER_RATE) + MIN_FULL_PARTS
+
+
 def _hash(endpoint_id: str, node_id: str) -> int:
     return xxhash.xxh64_intdigest(f"{endpoint_id}/{node_id}".encode())
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -497,6 +497,34 @@
 
         builders.run_on_virtual_clock(test)
 
+    def test_many_nodes_do_not_save_up_calls_to_a_cold_endpoint(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            members = [f"n{i}" for i in range(195)]
+            for warmup_per_s in (5.0, 10.0, 41.0, 100.0):
+                limits = {"warmup_per_s": warmup_per_s, "warmup_s": 9.0}
+                pools = [
+                    builders.ForwarderFixture(
+                        nursery,
+                        [builders.endpoint_entry("x", warmup_left_ms=9000.0)],
+                        [builders.route()],
+                        limits=limits,
+                        members=members,
+                        node_id=member,
+                    ).pool
+                    for member in members
+                ]
+                sent = 0
+                for _ in range(2):
+                    for pool in pools:
+                        while pool.choose_replica("s1", ()) is not None:
+                            sent += 1
+                    await trio.sleep(0.99)
+                with self.subTest(warmup_per_s=warmup_per_s):
+                    self.assertGreaterEqual(sent, 0.9 * warmup_per_s)
+                    self.assertLessEqual(sent, 1.5 * warmup_per_s + 5)
+
+        builders.run_on_virtual_clock(test)
+
     def test_a_node_that_lost_its_registration_still_counts_as_a_user(
         self,
     ) -> None:
