--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -418,18 +418,21 @@
                 continue
             if shard.runs >= self._route.max_attempts:
                 continue
+            # A chosen endpoint counts against its limits, so the budget is
+            # checked before.
+            if not self._context.budget.has_token(shard.service):
+                shard.failure = "the retry budget is exhausted"
+                self._hedge_at_s = min(
+                    self._hedge_at_s, now_s + BUDGET_RETRY_DELAY_S
+                )
+                continue
             replica = self._context.pool.choose_replica(
                 shard.service, shard.tried, only_healthy=True
             )
             if replica is None:
                 shard.failure = "no other healthy endpoint for a hedged call"
                 self._hedge_at_s = min(self._hedge_at_s, now_s + RETRY_DELAY_S)
-            elif not self._context.budget.try_consume(shard.service):
-                shard.failure = "the retry budget is exhausted"
-                self._hedge_at_s = min(
-                    self._hedge_at_s, now_s + BUDGET_RETRY_DELAY_S
-                )
-            else:
+            elif self._context.budget.try_consume(shard.service):
                 shard.failure = ""
                 self._context.metrics.extra_calls.labels("hedge").inc()
                 self.repeats += 1
--- a/src/geraniumstair/forward/_single.py
+++ b/src/geraniumstair/forward/_single.py
@@ -197,12 +197,15 @@
         self._hedge_at_s = math.inf
         if self._runs >= self._route.max_attempts or not self._open_calls:
             return
+        # A chosen endpoint counts against its limits, so the budget is checked
+        # before.
+        budget = self._context.budget
+        if not budget.has_token(self._service):
+            return
         replica = self._context.pool.choose_replica(
             self._service, self._tried, only_healthy=True
         )
-        if replica is not None and self._context.budget.try_consume(
-            self._service
-        ):
+        if replica is not None and budget.try_consume(self._service):
             self._context.metrics.extra_calls.labels("hedge").inc()
             self.repeats += 1
             self._submit(replica, _call.Cause.HEDGE)
--- a/tests/test_forward_rates.py
+++ b/tests/test_forward_rates.py
@@ -417,6 +417,39 @@
         )
         self._check_refusals(simulated)
 
+    def test_a_hedge_without_budget_uses_up_no_part_of_a_limit(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.search_route(["s1"], timeout_ms=5000.0)
+            fixture = builders.ForwarderFixture(
+                nursery,
+                [
+                    builders.endpoint_entry("x"),
+                    builders.endpoint_entry("y", availability_zone="b"),
+                ],
+                [route],
+                budget=forward.BudgetLimits(0.0, 10.0, 0.0),
+            )
+            fixture.budget.try_consume("s1")
+            fixture.site.behaviour("x").reply = dataclasses.replace(
+                builders.endpoint_reply(signature=b""), rate_limit_per_s=1.0
+            )
+            fixture.site.behaviour("y").reply = None
+
+            def send() -> None:
+                nursery.start_soon(
+                    fixture.forwarder.forward,
+                    builders.caller_request(remaining_ms=5000.0),
+                    route,
+                )
+
+            # The second request can't use x; its hedges find no budget.
+            for pause_s in (0.1, 1.5, 0.1):
+                send()
+                await trio.sleep(pause_s)
+            self.assertEqual(fixture.site.sent_to(), ["x", "y", "x"])
+
+        builders.run_on_virtual_clock(test)
+
     def test_an_endpoint_without_a_limit_again_gets_all_calls(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             route = builders.route()
