--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -779,6 +779,50 @@
     """
 
 
+class LimitReport(Message):
+    """
+    What an endpoint last stated about its request rate limit, for the nodes with a full part of the limit.
+    """
+
+    endpoint: str
+    limit_per_s: Annotated[
+        float,
+        Meta(
+            description="Requests a second of all nodes together; negative if the endpoint states no limit."
+        ),
+    ]
+    """
+    Requests a second of all nodes together; negative if the endpoint states no limit.
+    """
+    age_ms: Annotated[float, Meta(description="Time since the endpoint's answer.")]
+    """
+    Time since the endpoint's answer.
+    """
+
+
+class GrantRequest(Message):
+    """
+    Asks a node to give up one request of its part of an endpoint's limit.
+    """
+
+    report: LimitReport
+
+
+class GrantReply(Message):
+    """
+    Whether the sender of the request may send one request to the endpoint.
+    """
+
+    granted: bool
+    wait_ms: Annotated[
+        float, Meta(description="Time until the node can grant a request.")
+    ]
+    """
+    Time until the node can grant a request.
+    """
+    report: LimitReport
+
+
 class SnapshotQuery(Message):
     """
     Asks an owner for the snapshots that its shards can serve.
--- a/src/geraniumstair/forward/__init__.py
+++ b/src/geraniumstair/forward/__init__.py
@@ -20,6 +20,7 @@
 from geraniumstair.forward._endpoints import EndpointPool
 from geraniumstair.forward._endpoints import PoolSettings
 from geraniumstair.forward._forwarder import Forwarder
+from geraniumstair.forward._grants import LimitGrants
 from geraniumstair.forward._link import Link
 from geraniumstair.forward._link import LinkFactory
 from geraniumstair.forward._link import TcpLinkFactory
@@ -49,6 +50,7 @@
     "ForwardMetrics",
     "ForwardResult",
     "Forwarder",
+    "LimitGrants",
     "Link",
     "LinkFactory",
     "Margins",
--- a/src/geraniumstair/forward/_context.py
+++ b/src/geraniumstair/forward/_context.py
@@ -5,6 +5,7 @@
 from geraniumstair.forward import _budget
 from geraniumstair.forward import _call
 from geraniumstair.forward import _endpoints
+from geraniumstair.forward import _grants
 from geraniumstair.forward import _metrics
 from geraniumstair.forward import _timing
 
@@ -17,7 +18,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Context:
-    """Dependencies of every request."""
+    """Dependencies of every request.
+
+    `grants` is None if no other node can be asked.
+    """
 
     pool: _endpoints.EndpointPool
     budget: _budget.RetryBudget
@@ -26,6 +30,7 @@
     hedge_delays: _timing.HedgeDelays
     margins: _timing.Margins
     wait_estimator: _timing.CallerWaitEstimator
+    grants: _grants.LimitGrants | None = None
 
     def retry_after_s(self, service: str) -> float:
         """Returns how long a refused caller should wait, in s."""
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -1,5 +1,6 @@
 """Endpoints of each service, and load balancing over them."""
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -62,6 +63,11 @@
     remote_cost_ms: float
 
 
+# Called when an endpoint states another limit than before to this node, with
+# the nodes that have a full part of either limit.
+LimitListener = Callable[[_replica.Replica, Set[str]], None]
+
+
 class EndpointPool:
     """All endpoints of the services that routes lead to.
 
@@ -109,6 +115,7 @@
         self._stated_limits = _rates.StatedLimits(
             settings.node_id, self._node_infos, rng
         )
+        self._limit_listener: LimitListener | None = None
         # Includes former members for `MEMBER_RETENTION_S`.
         self._recent_members: Sequence[str] = (settings.node_id,)
         self._replicas_to_sweep: set[_replica.Replica] = set()
@@ -248,6 +255,7 @@
             self._metrics,
             self._versions,
             self._schedule_sweep,
+            self._on_limit_stated,
         )
         self._start_warmup(replica, entry)
         return replica
@@ -376,11 +384,14 @@
             return None
         for limit in self._find_rate_limits(best, now_s):
             limit.consume(now_s)
-        gate = self._versions.find_gate(service)
-        if gate is not None:
-            gate.count_request(best.entry.version)
+        self._count_version(best)
         return best
 
+    def _count_version(self, replica: _replica.Replica) -> None:
+        gate = self._versions.find_gate(replica.entry.service)
+        if gate is not None:
+            gate.count_request(replica.entry.version)
+
     def _compute_cost(
         self, replica: _replica.Replica, now_s: float
     ) -> tuple[int, float] | None:
@@ -446,7 +457,6 @@
             replica.rate_limit_per_s,
             replica.limited_since_s,
             now_s,
-            grouped=replica.entry.service in self._grouped_services,
         )
 
     def _get_cold_limit(
@@ -483,6 +493,69 @@
             limited = True
         return limited
 
+    def set_limit_listener(self, listener: LimitListener) -> None:
+        """Sets the function that is told of limits that endpoints state."""
+        self._limit_listener = listener
+
+    def _on_limit_stated(
+        self, replica: _replica.Replica, earlier_per_s: float | None
+    ) -> None:
+        if self._limit_listener is None:
+            return
+        full_nodes: set[str] = set()
+        for limit_per_s in (earlier_per_s, replica.rate_limit_per_s):
+            if limit_per_s is not None:
+                parts = self._stated_limits.divide(replica.entry, limit_per_s)
+                full_nodes.update(parts.full)
+        self._limit_listener(replica, full_nodes)
+
+    def find_limited(
+        self, service: str
+    ) -> list[tuple[_replica.Replica, Collection[str]]]:
+        """Returns the healthy endpoints of a service that state a limit.
+
+        Returns:
+            Each endpoint with the nodes that have a full part of its limit.
+        """
+        now_s = trio.current_time()
+        found: list[tuple[_replica.Replica, Collection[str]]] = []
+        for replica in self._by_service.get(service, ()):
+            cost = self._compute_unlimited_cost(replica, now_s)
+            limit_per_s = replica.rate_limit_per_s
+            if cost is not None and cost[0] <= 0 and limit_per_s is not None:
+                parts = self._stated_limits.divide(replica.entry, limit_per_s)
+                found.append((replica, parts.full.keys()))
+        return found
+
+    def find_replica(self, endpoint_id: str) -> _replica.Replica | None:
+        """Returns the endpoint with an id; None if it is unknown."""
+        entry = self._registry.get(endpoint_id)
+        if entry is None:
+            return None
+        return self._replicas.get(entry.instance_key)
+
+    def grant(self, replica: _replica.Replica) -> float:
+        """Gives up one request of this node's part of an endpoint's limit.
+
+        Returns:
+            The time in s until a request can be given up; 0 if it was.
+        """
+        now_s = trio.current_time()
+        limit = self._find_stated_limit(replica, now_s)
+        if limit is None:
+            return 0.0
+        wait_s = limit.wait_s(now_s)
+        if not wait_s:
+            limit.consume(now_s)
+        return wait_s
+
+    def record_granted(self, replica: _replica.Replica) -> None:
+        """Records a request that another node's part of a limit allows."""
+        cold_limit = self._get_cold_limit(replica, trio.current_time())
+        if cold_limit is not None:
+            cold_limit.consume(trio.current_time())
+        self._count_version(replica)
+
     def healthy_zones(self, service: str) -> frozenset[str]:
         """Returns the availability zones with a healthy endpoint."""
         now_s = trio.current_time()
--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -11,6 +11,7 @@
 from geraniumstair.forward import _context
 from geraniumstair.forward import _delegation
 from geraniumstair.forward import _endpoints
+from geraniumstair.forward import _grants
 from geraniumstair.forward import _metrics
 from geraniumstair.forward import _report
 from geraniumstair.forward import _result
@@ -37,6 +38,8 @@
             all shards from this node.
         margins: Time reserved for work after a decision; None uses the
             margins for one core.
+        grants: Asks other nodes for requests of their parts of limits; None
+            uses this node's parts only.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         metrics: _metrics.ForwardMetrics,
         delegation: _delegation.Delegation | None = None,
         margins: _timing.Margins | None = None,
+        grants: _grants.LimitGrants | None = None,
     ) -> None:
         self._delegation = delegation
         self._context = _context.Context(
@@ -57,6 +61,7 @@
             _timing.HedgeDelays(),
             margins or _timing.Margins.for_cores(1.0),
             _timing.CallerWaitEstimator(),
+            grants,
         )
         self._splits: dict[
             tuple[routing.SplitPart, ...], routing.ServiceSplit
--- a/src/geraniumstair/forward/_rates.py
+++ b/src/geraniumstair/forward/_rates.py
@@ -1,9 +1,9 @@
 """This node's part of a request rate that all nodes share.
 
 Cold endpoints, and endpoints that state a limit, accept a number of requests a
-second from all nodes together. The nodes exchange no messages about it. Each
-one computes the same parts from the same members, so the sum holds whichever
-nodes run, and a node that is cut off keeps to its part.
+second from all nodes together. Each node computes the same parts from the same
+members, so the sum holds whichever nodes run, and a node that is cut off keeps
+to its part. Nodes may use requests of each other's parts, see `_grants`.
 
 Only a number of nodes in proportion to the rate get a full part. Small parts
 would be saved up by many nodes, and used by all of them at once when more
@@ -172,35 +172,35 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LimitPart:
-    """A node's part of the limit that an endpoint states.
+class LimitParts:
+    """The parts of the limit that an endpoint states.
 
     Attributes:
-        per_s: Requests a second.
-        full: The node may save up requests; others only probe the endpoint.
+        full: Rates of the nodes that may save up requests, in requests a
+            second.
+        other_per_s: Rate of each other node, which only probes the endpoint.
     """
 
-    per_s: float
-    full: bool
+    full: Mapping[str, float]
+    other_per_s: float
 
 
-def compute_limit_part(
-    node_id: str,
+def divide_limit(
     endpoint_id: str,
     availability_zone: str,
     limit_per_s: float,
     nodes: Mapping[str, _delegation_nodes.NodeInfo],
     callers: Collection[str],
-) -> LimitPart:
-    """Returns this node's part of the limit that an endpoint states.
+) -> LimitParts:
+    """Divides the limit that an endpoint states among the nodes.
 
     Args:
-        node_id: This node, one of `nodes`.
         endpoint_id: The endpoint.
         availability_zone: Availability zone of the endpoint.
         limit_per_s: Requests a second of all nodes together.
         nodes: All nodes of the site.
-        callers: The nodes that usually call the endpoint.
+        callers: The nodes that call shards for others. All nodes keep streams
+            to some of them.
     """
     limit_per_s = max(limit_per_s, MIN_LIMIT_PER_S)
 
@@ -217,12 +217,13 @@
     )
     full = ranked[: _count_full_parts(limit_per_s)]
     other_count = len(ranked) - len(full)
-    if node_id not in full:
-        return LimitPart(limit_per_s * OTHER_NODES_SHARE / other_count, False)
-    weights = {n: SAME_ZONE_WEIGHT if is_in_zone(n) else 1.0 for n in full}
     share = 1.0 - OTHER_NODES_SHARE if other_count else 1.0
-    part_per_s = limit_per_s * share * weights[node_id] / sum(weights.values())
-    return LimitPart(part_per_s, True)
+    weights = {n: SAME_ZONE_WEIGHT if is_in_zone(n) else 1.0 for n in full}
+    weight_per_s = limit_per_s * share / sum(weights.values())
+    return LimitParts(
+        {n: weight * weight_per_s for n, weight in weights.items()},
+        limit_per_s * OTHER_NODES_SHARE / max(1, other_count),
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -230,14 +231,14 @@
     """An endpoint that states a limit.
 
     Attributes:
-        stated_per_s: The limit for which the part was computed; None if the
+        stated_per_s: The limit for which the parts were computed; None if the
             nodes have changed since.
-        part: This node's part.
-        limit: Limits this node's requests to the part.
+        parts: The parts of all nodes.
+        limit: Limits this node's requests to its part.
     """
 
     stated_per_s: float | None
-    part: LimitPart
+    parts: LimitParts
     limit: RateLimit
 
 
@@ -281,8 +282,6 @@
         limit_per_s: float | None,
         limited_since_s: float,
         now_s: float,
-        *,
-        grouped: bool,
     ) -> RateLimit | None:
         """Returns the rate limit for an endpoint; None if it states none.
 
@@ -291,7 +290,6 @@
             limit_per_s: The limit that it states.
             limited_since_s: When this node first saw a limit.
             now_s: Present time, on a monotonic clock.
-            grouped: Only nodes that call shards for others call it.
         """
         endpoint_id = entry.endpoint_id
         if limit_per_s is None:
@@ -300,30 +298,45 @@
         known = self._limited.get(endpoint_id)
         if known is not None and known.stated_per_s == limit_per_s:
             return known.limit
-        part = compute_limit_part(
-            self._node_id,
-            endpoint_id,
+        parts = self.divide(entry, limit_per_s)
+        limit = self._build_limit(known, parts, limited_since_s, now_s)
+        self._limited[endpoint_id] = _Limited(limit_per_s, parts, limit)
+        return limit
+
+    def _build_limit(
+        self,
+        known: _Limited | None,
+        parts: LimitParts,
+        limited_since_s: float,
+        now_s: float,
+    ) -> RateLimit:
+        node_id = self._node_id
+        per_s = parts.full.get(node_id, parts.other_per_s)
+        if known is not None:
+            if (node_id in known.parts.full) == (node_id in parts.full):
+                known.limit.set_rate(per_s, now_s)
+                return known.limit
+            limited_since_s = now_s
+        if node_id in parts.full:
+            # All nodes see a limit at about the same time, so none of them
+            # starts with a token.
+            return TokenBucket(per_s, limited_since_s, 0.0)
+        return ProbeWindows(per_s, limited_since_s, self._rng)
+
+    def divide(
+        self, entry: discovery.EndpointEntry, limit_per_s: float
+    ) -> LimitParts:
+        """Returns the parts of a limit that an endpoint states."""
+        known = self._limited.get(entry.endpoint_id)
+        if known is not None and known.stated_per_s == limit_per_s:
+            return known.parts
+        return divide_limit(
+            entry.endpoint_id,
             entry.availability_zone,
             limit_per_s,
             self._nodes,
-            self._delegation_nodes if grouped else self._nodes,
+            self._delegation_nodes,
         )
-        if known is None:
-            limit = self._build_limit(part, limited_since_s)
-        elif known.part.full != part.full:
-            limit = self._build_limit(part, now_s)
-        else:
-            limit = known.limit
-            limit.set_rate(part.per_s, now_s)
-        self._limited[endpoint_id] = _Limited(limit_per_s, part, limit)
-        return limit
-
-    def _build_limit(self, part: LimitPart, since_s: float) -> RateLimit:
-        if not part.full:
-            return ProbeWindows(part.per_s, since_s, self._rng)
-        # All nodes see a limit at about the same time, so none of them starts
-        # with a token.
-        return TokenBucket(part.per_s, since_s, 0.0)
 
     def forget_unknown(self, known_ids: Collection[str]) -> None:
         """Drops the limits of endpoints that do not exist any more."""
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -76,6 +76,8 @@
         metrics: Counts calls and connections.
         versions: Counts answers by version during a rollout.
         schedule_sweep: Called when `sweep` will have work to do.
+        on_limit_stated: Called with the earlier limit when an answer to this
+            node states another one.
 
     Attributes:
         entry: The newest registration of the instance.
@@ -88,7 +90,9 @@
             has ended, whatever its registration still says.
         rate_limit_per_s: Requests a second that the endpoint accepts from all
             nodes together, as its last answer states; None without a limit.
-        limited_since_s: When the first answer with a limit arrived.
+        limited_since_s: When this node first knew of a limit.
+        limit_observed_s: When the answer arrived that shows the present limit,
+            or that there is none.
     """
 
     def __init__(
@@ -100,6 +104,7 @@
         metrics: _metrics.ForwardMetrics,
         versions: canary.VersionTracker,
         schedule_sweep: "Callable[[Replica], None]",
+        on_limit_stated: "Callable[[Replica, float | None], None]",
     ) -> None:
         self.entry = entry
         self.max_links = max_links
@@ -112,6 +117,7 @@
         self._metrics = metrics
         self._versions = versions
         self._schedule_sweep = schedule_sweep
+        self._on_limit_stated = on_limit_stated
         self._links: set[_link.Link] = set()
         self._free_links: list[_link.Link] = []
         self._opening_count = 0
@@ -127,6 +133,7 @@
         self.address_reused = False
         self.rate_limit_per_s: float | None = None
         self.limited_since_s = 0.0
+        self.limit_observed_s = -math.inf
         # For the log: when the limit was last logged, its value then, and the
         # calls since.
         self._limit_logged_at_s = -math.inf
@@ -395,6 +402,24 @@
         # A failure or a refusal without a limit does not end it.
         if limit_per_s is None and reply.outcome is not _call.Outcome.ANSWERED:
             return
+        earlier_per_s = self.rate_limit_per_s
+        self.observe_rate_limit(limit_per_s, trio.current_time())
+        if limit_per_s != earlier_per_s:
+            self._on_limit_stated(self, earlier_per_s)
+
+    def observe_rate_limit(
+        self, limit_per_s: float | None, observed_s: float
+    ) -> None:
+        """Applies the limit of an answer, unless a newer answer is known.
+
+        Args:
+            limit_per_s: What the endpoint stated to this node or another one;
+                None for an answer without a limit.
+            observed_s: When that node got the answer, on the monotonic clock.
+        """
+        if observed_s < self.limit_observed_s:
+            return
+        self.limit_observed_s = observed_s
         if limit_per_s == self.rate_limit_per_s:
             return
         now_s = trio.current_time()
--- a/src/geraniumstair/forward/_single.py
+++ b/src/geraniumstair/forward/_single.py
@@ -65,14 +65,17 @@
                 _result.RefusalReason.NO_ENDPOINT,
                 f"no endpoint of {self._service} is available",
             )
+        granted: _replica.Replica | None = None
         if pool.is_at_stated_limit(self._service):
-            return self._build_refusal(
-                _result.RefusalReason.OVERLOADED,
-                f"the endpoints of {self._service} accept no more requests "
-                "at present",
-            )
+            granted = await self._request_grant()
+            if granted is None:
+                return self._build_refusal(
+                    _result.RefusalReason.OVERLOADED,
+                    f"the endpoints of {self._service} accept no more requests "
+                    "at present",
+                )
         try:
-            self._start()
+            self._start(granted)
             while self._result is None:
                 with trio.move_on_at(self._next_wakeup_s()):
                     await self._wake.wait()
@@ -85,6 +88,10 @@
             for call, replica in self._open_calls.items():
                 replica.abandon(call, now_s)
 
+    async def _request_grant(self) -> _replica.Replica | None:
+        grants = self._context.grants
+        return await grants.request(self._service) if grants else None
+
     def describe(self) -> Mapping[str, Any]:
         """Returns the data that the decisions were based on, for the log."""
         failure = self._last_failure
@@ -96,13 +103,15 @@
             "failure": failure.detail if failure is not None else "",
         }
 
-    def _start(self) -> None:
+    def _start(self, granted: _replica.Replica | None) -> None:
         now_s = trio.current_time()
         self._context.budget.record_request(self._service)
         if self._route.idempotent:
             delay_ms = self._context.hedge_delays.delay_ms(self._route)
             self._hedge_at_s = now_s + delay_ms / 1000
-        if not self._try_call(_call.Cause.FIRST):
+        if granted is not None:
+            self._submit(granted, _call.Cause.FIRST)
+        elif not self._try_call(_call.Cause.FIRST):
             self._retry_at_s = now_s + RETRY_DELAY_S
 
     def _try_call(self, cause: _call.Cause) -> bool:
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -208,6 +208,9 @@
             metrics,
             self._delegation,
             forward.Margins.for_cores(settings.processor_cores),
+            forward.LimitGrants(
+                settings.node_id, pool, self._network, random.Random()
+            ),
         )
         forward.PartsServer(self._network, state, forwarder, self._lifecycle)
         self._mirror.subscribe(state.apply)
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -312,6 +312,8 @@
         members: Nodes of the site besides this one.
         node_id: This node.
         site: The endpoints, if several nodes share them; None for new ones.
+        network: Network over which nodes give up requests to each other; None
+            without one.
     """
 
     def __init__(
@@ -325,6 +327,7 @@
         members: Sequence[str] = (),
         node_id: str = "n1",
         site: "FakeSite | None" = None,
+        network: "FakeNetwork | None" = None,
     ) -> None:
         self.site = site or FakeSite()
         self.registry = discovery.EndpointRegistry(trio.current_time)
@@ -350,8 +353,17 @@
         self.budget = forward.RetryBudget(
             budget or forward.BudgetLimits(0.2, 10.0, 50.0), trio.current_time
         )
+        grants = None
+        if network is not None:
+            grants = forward.LimitGrants(
+                node_id, self.pool, network, random.Random(node_id)
+            )
         self.forwarder = forward.Forwarder(
-            self.pool, self.budget, FakeDialect(), self.metrics
+            self.pool,
+            self.budget,
+            FakeDialect(),
+            self.metrics,
+            grants=grants,
         )
         nursery.start_soon(self.forwarder.run)
 
@@ -509,6 +521,10 @@
         trio.lowlevel.spawn_system_task(handler, self.node_id, message)
         return True
 
+    def is_responsive(self, node_id: str) -> bool:
+        """Returns whether the peer is connected."""
+        return node_id in self.connected_nodes()
+
     async def call(self, node_id: str, request: Any, timeout_ms: float) -> Any:
         """Delivers a request and returns the reply."""
         self.calls += 1
--- a/tests/test_forward_rates.py
+++ b/tests/test_forward_rates.py
@@ -55,15 +55,22 @@
     Attributes:
         rates: Its decisions.
         wants_per_s: Requests a second that it has for the endpoint.
-        limit_per_s: The limit that the endpoint's last answer stated.
+        limit_per_s: The limit that the endpoint stated last, as it knows it.
+        answered_s: When the answer arrived that stated it.
         running: False while it is stopped or frozen.
     """
 
     rates: forward.StatedLimits
     wants_per_s: float
     limit_per_s: float
+    answered_s: float = 0.0
     running: bool = True
 
+    def observe(self, limit_per_s: float, answered_s: float) -> None:
+        """Applies the limit of an answer, unless a newer one is known."""
+        if answered_s >= self.answered_s:
+            self.limit_per_s, self.answered_s = limit_per_s, answered_s
+
 
 class _Site:
     """Nodes that share the limit of one endpoint, in steps of 10 ms.
@@ -72,11 +79,20 @@
         size: Number of nodes, in three availability zones.
         limit_per_s: What the endpoint states.
         wants_per_s: Requests a second of all nodes together.
+        even: All nodes have as many callers; otherwise a few have most.
+        grants: Nodes ask others for requests of their parts.
     """
 
     def __init__(
-        self, size: int, limit_per_s: float, wants_per_s: float
+        self,
+        size: int,
+        limit_per_s: float,
+        wants_per_s: float,
+        *,
+        even: bool = False,
+        grants: bool = False,
     ) -> None:
+        self._grants = grants
         self.now_s = 0.0
         self.sent_s: list[float] = []
         self.limit_per_s = limit_per_s
@@ -89,8 +105,7 @@
         self._answers: collections.deque[tuple[float, _Node, float]] = (
             collections.deque()
         )
-        # A few nodes have most of the callers.
-        weights = [1 / (1 + i) for i in range(size)]
+        weights = [1.0 if even else 1 / (1 + i) for i in range(size)]
         self.nodes = {
             name: self.build_node(name, wants_per_s * weight / sum(weights))
             for name, weight in zip(self.infos, weights, strict=True)
@@ -111,7 +126,6 @@
             node.limit_per_s,
             self.now_s,
             self.now_s,
-            grouped=False,
         )
         assert limit is not None
         return limit
@@ -133,13 +147,24 @@
                     continue
                 if self._rng.random() >= node.wants_per_s * step_s:
                     continue
-                limit = self.find_limit(node)
-                if limit.has_token(self.now_s):
-                    limit.consume(self.now_s)
-                    self.sent_s.append(self.now_s)
-                    self._answers.append(
-                        (self.now_s + ANSWER_S, node, self.limit_per_s)
-                    )
+                self._send(node)
+
+    def _send(self, node: _Node) -> None:
+        granting = [node]
+        if self._grants:
+            granting += self._find_full_nodes(node, node.limit_per_s)
+        for other in granting:
+            # A request and its reply tell both nodes the newer limit.
+            other.observe(node.limit_per_s, node.answered_s)
+            node.observe(other.limit_per_s, other.answered_s)
+            limit = self.find_limit(other)
+            if limit.has_token(self.now_s):
+                limit.consume(self.now_s)
+                self.sent_s.append(self.now_s)
+                self._answers.append(
+                    (self.now_s + ANSWER_S, node, self.limit_per_s)
+                )
+                return
 
     def skip(self, duration_s: float) -> None:
         """Lets time pass without requests."""
@@ -148,8 +173,21 @@
 
     def _deliver_answers(self) -> None:
         while self._answers and self._answers[0][0] <= self.now_s:
-            _, node, limit_per_s = self._answers.popleft()
-            node.limit_per_s = limit_per_s
+            answered_s, node, limit_per_s = self._answers.popleft()
+            told = [node]
+            if self._grants and node.limit_per_s != limit_per_s:
+                told += self._find_full_nodes(node, node.limit_per_s)
+                told += self._find_full_nodes(node, limit_per_s)
+            for other in told:
+                other.observe(limit_per_s, answered_s)
+
+    def _find_full_nodes(
+        self, node: _Node, limit_per_s: float
+    ) -> Sequence[_Node]:
+        """Returns the running nodes that a node takes for full ones."""
+        parts = node.rates.divide(self._entry, limit_per_s)
+        found = [self.nodes.get(name) for name in sorted(parts.full)]
+        return [n for n in found if n is not None and n.running]
 
     def excess(self) -> float:
         """Returns the excess of the worst window."""
@@ -159,15 +197,22 @@
 class StatedLimitSumTest(unittest.TestCase):
     """Guards against nodes that together exceed a limit that each one keeps."""
 
+    GRANTS = False
+
     def _for_each_site(self, check: Callable[[int, float], None]) -> None:
         for size in (1, SMALL_SITE, LARGE_SITE):
             for limit_per_s in (0.5, 2.0, LIMIT_PER_S, 50.0):
                 with self.subTest(size=size, limit_per_s=limit_per_s):
                     check(size, limit_per_s)
 
+    def _build_site(
+        self, size: int, limit_per_s: float, wants_per_s: float
+    ) -> _Site:
+        return _Site(size, limit_per_s, wants_per_s, grants=self.GRANTS)
+
     def test_the_parts_of_all_nodes_add_up_to_the_limit(self) -> None:
         def check(size: int, limit_per_s: float) -> None:
-            site = _Site(size, limit_per_s, 1.0)
+            site = self._build_site(size, limit_per_s, 1.0)
             total = sum(
                 site.find_limit(node).per_s for node in site.nodes.values()
             )
@@ -177,7 +222,7 @@
 
     def test_more_requests_than_the_limit(self) -> None:
         def check(size: int, limit_per_s: float) -> None:
-            site = _Site(size, limit_per_s, 10 * limit_per_s)
+            site = self._build_site(size, limit_per_s, 10 * limit_per_s)
             site.run(30)
             self.assertLessEqual(site.excess(), 0)
 
@@ -185,7 +230,7 @@
 
     def test_a_burst_after_a_quiet_time(self) -> None:
         def check(size: int, limit_per_s: float) -> None:
-            site = _Site(size, limit_per_s, 0.2 * limit_per_s)
+            site = self._build_site(size, limit_per_s, 0.2 * limit_per_s)
             site.run(60)
             site.set_wants(20 * limit_per_s)
             site.run(10)
@@ -196,7 +241,7 @@
     def test_a_burst_after_minutes_without_requests(self) -> None:
         # Many small parts must not be saved up and used at once.
         def check(size: int, limit_per_s: float) -> None:
-            site = _Site(size, limit_per_s, 20 * limit_per_s)
+            site = self._build_site(size, limit_per_s, 20 * limit_per_s)
             for _ in range(3):
                 site.skip(600)
                 site.run(5)
@@ -206,7 +251,7 @@
 
     def test_nodes_restart_one_after_the_other(self) -> None:
         def check(size: int, limit_per_s: float) -> None:
-            site = _Site(size, limit_per_s, 10 * limit_per_s)
+            site = self._build_site(size, limit_per_s, 10 * limit_per_s)
             for name in list(site.nodes)[:20]:
                 site.nodes[name].running = False
                 site.run(1)
@@ -219,7 +264,7 @@
 
     def test_frozen_nodes_wake_together(self) -> None:
         def check(size: int, limit_per_s: float) -> None:
-            site = _Site(size, limit_per_s, 10 * limit_per_s)
+            site = self._build_site(size, limit_per_s, 10 * limit_per_s)
             site.run(5)
             frozen = list(site.nodes.values())[: max(1, size // 2)]
             for node in frozen:
@@ -234,7 +279,7 @@
 
     def test_nodes_are_cut_off_from_the_others(self) -> None:
         def check(size: int, limit_per_s: float) -> None:
-            site = _Site(size, limit_per_s, 10 * limit_per_s)
+            site = self._build_site(size, limit_per_s, 10 * limit_per_s)
             site.run(5)
             # The others drop a third of the nodes, which serve on and still
             # count all members.
@@ -254,7 +299,7 @@
 
     def test_nodes_learn_of_new_nodes_at_different_times(self) -> None:
         def check(size: int, limit_per_s: float) -> None:
-            site = _Site(size, limit_per_s, 10 * limit_per_s)
+            site = self._build_site(size, limit_per_s, 10 * limit_per_s)
             new = {f"new{i}": forward.NodeInfo("a") for i in range(size // 4)}
             site.run(5)
             site.infos = site.infos | new
@@ -271,7 +316,7 @@
 
     def test_a_limit_changes(self) -> None:
         def check(size: int, limit_per_s: float) -> None:
-            site = _Site(size, 4 * limit_per_s, 40 * limit_per_s)
+            site = self._build_site(size, 4 * limit_per_s, 40 * limit_per_s)
             site.run(10)
             site.limit_per_s = limit_per_s
             changed_s = site.now_s
@@ -282,6 +327,24 @@
         self._for_each_site(check)
 
 
+class GrantSumTest(StatedLimitSumTest):
+    """Guards against an excess by requests that nodes give up to others."""
+
+    GRANTS = True
+
+    def test_callers_at_all_nodes_use_most_of_the_limit(self) -> None:
+        # Most nodes of a large site have no full part.
+        def check(size: int, limit_per_s: float) -> None:
+            site = _Site(
+                size, limit_per_s, 5 * limit_per_s, even=True, grants=True
+            )
+            site.run(60)
+            self.assertLessEqual(site.excess(), 0)
+            self.assertGreaterEqual(len(site.sent_s), 0.7 * 60 * limit_per_s)
+
+        self._for_each_site(check)
+
+
 @dataclasses.dataclass
 class _Result:
     """What callers and a limited endpoint got.
