--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -549,12 +549,24 @@
             limit.consume(now_s)
         return wait_s
 
-    def record_granted(self, replica: _replica.Replica) -> None:
-        """Records a request that another node's part of a limit allows."""
-        cold_limit = self._get_cold_limit(replica, trio.current_time())
+    def use_grant(self, replica: _replica.Replica) -> bool:
+        """Records a request that another node's part of a limit allows.
+
+        Returns:
+            False if the endpoint must not be called any more.
+        """
+        now_s = trio.current_time()
+        known = self._by_service.get(replica.entry.service, ())
+        if (
+            replica not in known
+            or self._compute_unlimited_cost(replica, now_s) is None
+        ):
+            return False
+        cold_limit = self._get_cold_limit(replica, now_s)
         if cold_limit is not None:
-            cold_limit.consume(trio.current_time())
+            cold_limit.consume(now_s)
         self._count_version(replica)
+        return True
 
     def healthy_zones(self, service: str) -> frozenset[str]:
         """Returns the availability zones with a healthy endpoint."""
--- a/src/geraniumstair/forward/_grants.py
+++ b/src/geraniumstair/forward/_grants.py
@@ -24,8 +24,10 @@
 from geraniumstair.forward import _endpoints
 from geraniumstair.forward import _replica
 
-# Time after which a request is refused although a node has not replied.
+# Time after which a request is refused although a node has not replied, and its
+# greatest share of the latency goal.
 GRANT_TIMEOUT_S = 0.05
+GRANT_GOAL_SHARE = 0.2
 # Nodes that are asked for one request.
 MAX_ASKED_NODES = 3
 # Time for which a node is not asked again about an endpoint that it does not
@@ -89,16 +91,22 @@
         network.register_handler(messages.LimitReport, self._on_report)
         pool.set_limit_listener(self._report)
 
-    async def request(self, service: str) -> _replica.Replica | None:
+    async def request(
+        self, service: str, latency_goal_ms: float
+    ) -> _replica.Replica | None:
         """Returns an endpoint that may get one request; None without a grant.
 
         Args:
             service: A service whose endpoints are all at their limits.
+            latency_goal_ms: Latency goal of the request.
         """
-        with trio.move_on_after(GRANT_TIMEOUT_S):
+        timeout_s = min(
+            GRANT_TIMEOUT_S, GRANT_GOAL_SHARE * latency_goal_ms / 1000
+        )
+        with trio.move_on_after(timeout_s):
             for replica, node_id in self._choose_questions(service):
-                if await self._ask(replica, node_id):
-                    self._pool.record_granted(replica)
+                granted = await self._ask(replica, node_id)
+                if granted and self._pool.use_grant(replica):
                     return replica
         return None
 
--- a/src/geraniumstair/forward/_single.py
+++ b/src/geraniumstair/forward/_single.py
@@ -90,7 +90,9 @@
 
     async def _request_grant(self) -> _replica.Replica | None:
         grants = self._context.grants
-        return await grants.request(self._service) if grants else None
+        if grants is None:
+            return None
+        return await grants.request(self._service, self._route.latency_goal_ms)
 
     def describe(self) -> Mapping[str, Any]:
         """Returns the data that the decisions were based on, for the log."""
--- a/tests/test_forward_grants.py
+++ b/tests/test_forward_grants.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from geraniumstair import discovery
 from geraniumstair import forward
 from geraniumstair._generated import messages
 from tests import builders_gateway as builders
@@ -31,6 +32,14 @@
         await trio.sleep_forever()
 
 
+class _SlowNetwork(builders.FakeNetwork):
+    """A network whose calls take 20 ms."""
+
+    async def call(self, node_id: str, request: Any, timeout_ms: float) -> Any:
+        await trio.sleep(0.02)
+        return await super().call(node_id, request, timeout_ms)
+
+
 class _Site:
     """Nodes in front of endpoint x, the only one of service s1.
 
@@ -152,6 +161,36 @@
 
         builders.run_on_virtual_clock(test)
 
+    def test_an_endpoint_that_drains_meanwhile_gets_no_request(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery, _SlowNetwork)
+            await site.tell_all()
+            await trio.sleep(10)
+            site.endpoints.sent.clear()
+            site.results.clear()
+            asking = [
+                name
+                for name, fixture in site.nodes.items()
+                if fixture.pool.is_at_stated_limit("s1")
+            ]
+            for name in asking:
+                nursery.start_soon(site.send, name)
+            await trio.sleep(0.01)
+            entry = builders.endpoint_entry(
+                "x", state=discovery.EndpointState.DRAINING
+            )
+            for fixture in site.nodes.values():
+                fixture.registry.put(entry)
+                fixture.pool.apply_registry_changes()
+            await trio.sleep(5)
+            self.assertEqual(site.endpoints.sent, [])
+            self.assertEqual(len(site.results), len(asking))
+            for refusal, took_s in site.results:
+                self.assertIsInstance(refusal, forward.Refused)
+                self.assertLessEqual(took_s, REFUSED_WITHIN_S + 1e-6)
+
+        builders.run_on_virtual_clock(test)
+
     def test_a_node_that_is_cut_off_keeps_to_its_part(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             site = _Site(nursery)
