--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -106,7 +106,23 @@
             violations.append(
                 f"{node.name} exited unexpectedly: status {node.exit_status}"
             )
-    return violations + _find_lost_requests(site)
+    return violations + _find_limit_excesses(site) + _find_lost_requests(site)
+
+
+def _find_limit_excesses(site: _site.Site) -> list[str]:
+    nodes = {node.name: node for node in site.nodes}
+
+    def was_disturbed(name: str, from_s: float, to_s: float) -> bool:
+        node = nodes[name]
+        return node.was_disturbed(from_s, to_s) or node.was_started(
+            from_s, to_s
+        )
+
+    found = [
+        record.find_violation(site.tally.node_names, was_disturbed)
+        for record in site.run_log.limits
+    ]
+    return [violation for violation in found if violation]
 
 
 def _find_lost_requests(site: _site.Site) -> list[str]:
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -55,6 +55,7 @@
         unanswered: Requests without a response.
         violations: Descriptions of violated guarantees.
         rejected_ids: Ids of the requests that were rejected as not run.
+        node_names: The node that each request was sent to, by request id.
     """
 
     asked: int = 0
@@ -66,6 +67,7 @@
     )
     violations: list[str] = dataclasses.field(default_factory=list)
     rejected_ids: set[str] = dataclasses.field(default_factory=set)
+    node_names: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 class Caller:
@@ -115,6 +117,7 @@
         is_single = self._rng.random() < 0.3
         path = SINGLE_PATH if is_single else SEARCH_PATH
         self._tally.asked += 1
+        self._tally.node_names[request_id] = node
         response = None
         sent_s = trio.current_time()
         with trio.move_on_after(REQUEST_TIMEOUT_MS / 1000 + 1) as scope:
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from soak import _limits
 from standins import lean_http
 
 RECORD_BYTES = 16
@@ -55,11 +56,13 @@
     Attributes:
         responses: Successful responses by signature.
         runs: Number of runs by request id and service.
+        limits: Requests at endpoints that stated a limit.
     """
 
     def __init__(self) -> None:
         self.responses: dict[str, EndpointResponse] = {}
         self.runs: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.limits: list[_limits.LimitRecord] = []
 
     def record_run(self, request_id: str, service: str) -> None:
         """Counts one run of a request."""
@@ -74,6 +77,7 @@
         service: Name of the service.
         fault: Active fault.
         deregistered: Whether the endpoint has been deregistered.
+        limit: The limit that the endpoint states; None without one.
         port: TCP port of the listener; 0 before `run` has bound it.
     """
 
@@ -88,10 +92,20 @@
         self.service = service
         self.fault = EndpointFault.NONE
         self.deregistered = False
+        self.limit: _limits.LimitRecord | None = None
         self.port = 0
         self._run_log = run_log
         self._rng = rng
 
+    def state_limit(self, per_s: float) -> None:
+        """States a limit in all answers from now on.
+
+        Args:
+            per_s: Requests a second of all nodes together.
+        """
+        self.limit = _limits.LimitRecord(self.endpoint_id, per_s)
+        self._run_log.limits.append(self.limit)
+
     async def run(
         self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -117,6 +131,8 @@
         expected_id = request.headers.get(b"x-expected-instance", b"").decode()
         if expected_id != self.endpoint_id:
             return lean_http.HttpResponse(421, [], b"")
+        if self.limit is not None:
+            self.limit.arrivals.append((trio.current_time(), request_id))
         # An active fault affects about half of the requests.
         fault = self.fault if self._rng.random() < 0.5 else EndpointFault.NONE
         if fault is EndpointFault.SHED:
@@ -148,6 +164,10 @@
             (b"x-response-stamp", signature.encode()),
             (b"x-attempt-id", request_id.encode()),
         ]
+        if self.limit is not None:
+            per_s = f"{self.limit.limit_per_s}".encode()
+            headers.append((b"server-limit", per_s))
+            self.limit.stated.append((trio.current_time(), request_id))
         if fault is EndpointFault.FAILING:
             return lean_http.HttpResponse(500, headers, b"failed")
         encoded_headers = b"".join(b"%b: %b\r\n" % field for field in headers)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,6 +11,10 @@
 from soak import _site
 from soak import _store
 
+# Limit that some endpoints state, in requests a second of all nodes together.
+LIMIT_PER_S = 3.0
+# Share of the runs in which both endpoints of a service state a limit.
+BOTH_LIMITED_SHARE = 0.4
 # Requests that queued up while a process was paused complete within this
 # time after the pause.
 AFTER_PAUSE_S = 1.0
@@ -51,6 +55,7 @@
     async def run(self, duration_s: float) -> None:
         """Starts faults at random intervals of 0.2 s to 1 s."""
         end_s = trio.current_time() + duration_s
+        self._state_limits()
         choices = [
             self._inject_restart, self._inject_kill, self._inject_pause,
             self._send_hangup, self._inject_store_fault,
@@ -63,6 +68,16 @@
             await trio.sleep(self._rng.uniform(0.2, 1.0))
             self._nursery.start_soon(self._rng.choice(choices))
 
+    def _state_limits(self) -> None:
+        # Only the node that gets a single request calls its endpoint, so the
+        # check can tell the senders.
+        endpoints = [e for e in self._site.endpoints if e.service == "single"]
+        self._rng.shuffle(endpoints)
+        both = self._rng.random() < BOTH_LIMITED_SHARE
+        for endpoint in endpoints[: 1 + both]:
+            self._record_fault(f"endpoint {endpoint.endpoint_id} states limit")
+            endpoint.state_limit(LIMIT_PER_S)
+
     def clear_faults(self) -> None:
         """Clears the faults of the endpoints, the store and the proxies."""
         self._site.store.fault = _store.StoreFault.NONE
@@ -71,6 +86,7 @@
             proxy.reset()
         for endpoint in self._site.endpoints:
             endpoint.fault = _endpoints.EndpointFault.NONE
+            endpoint.limit = None
 
     def _record_fault(self, text: str) -> None:
         at_s = trio.current_time() - self._started_s
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -33,6 +33,7 @@
             listener.
         disturbances: Start and end times in s of the periods in which
             requests may be lost because the process was killed or paused.
+        started_s: Times in s at which a process was started.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self.ports = _ports.allocate_ports(4)
         self.peer_proxy = _proxy.Proxy(self.ports[2])
         self.disturbances: list[tuple[float, float]] = []
+        self.started_s: list[float] = []
         self._start_count = 0
         self._zone = zone
         self._directory = directory
@@ -89,6 +91,7 @@
         # Each start gets its own log files, so that the output of a process
         # that failed is kept after a restart.
         self._start_count += 1
+        self.started_s.append(trio.current_time())
         self._process = _processes.ManagedProcess(
             f"{self.name}-{self._start_count}",
             ["-m", "geraniumstair.platform"],
@@ -107,6 +110,10 @@
             for start_s, end_s in self.disturbances
         )
 
+    def was_started(self, from_s: float, to_s: float) -> bool:
+        """Returns whether a process was started in the given period."""
+        return any(from_s <= at_s <= to_s for at_s in self.started_s)
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
         if self._process is not None and self._process.running:
