--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -100,6 +100,8 @@
         self._rng = rng
         self._replicas: dict[tuple[str, int, str, int], _replica.Replica] = {}
         self._by_service: dict[str, list[_replica.Replica]] = {}
+        # Also contains the endpoints that this node does not use.
+        self._registered: dict[str, list[_replica.Replica]] = {}
         self._cold_limits: dict[str, _rates.TokenBucket] = {}
         self._table: routing.RouteTable | None = None
         self._preconnected_services: frozenset[str] = frozenset()
@@ -273,7 +275,9 @@
                 found.setdefault(replica.entry.service, []).append(replica)
         for service in services:
             self._by_service.pop(service, None)
+            self._registered.pop(service, None)
         for service, replicas in found.items():
+            self._registered[service] = replicas
             max_links = self._compute_max_links(service)
             keeps_links = self._keeps_links(service)
             for replica in replicas:
@@ -344,8 +348,11 @@
         return max(1, min(MAX_LINKS, int(share / self.node_count(service))))
 
     def endpoint_count(self, service: str) -> int:
-        """Returns the number of endpoints that may get calls."""
-        return sum(_accepts_calls(r) for r in self._by_service.get(service, ()))
+        """Returns the number of endpoints that some node may call.
+
+        This includes endpoints that this node does not use.
+        """
+        return sum(_accepts_calls(r) for r in self._registered.get(service, ()))
 
     def node_count(self, service: str) -> int:
         """Returns the number of nodes that call a service."""
