--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -26,6 +26,11 @@
 # Delay before another attempt at a hedge that the budget did not allow. In this
 # time, a busy node gains about one token.
 BUDGET_RETRY_DELAY_S = 0.1
+# A wake-up that is this late shows that the process was paused.
+PAUSE_S = 0.25
+# Delay of repeats after a pause. Answers, and messages that stop the search,
+# arrived meanwhile and are read first.
+RESUME_DELAY_S = 0.05
 # Limit of calls and attempts for one shard that certainly did not run.
 MAX_REFUSALS = 6
 # Interval of the checks of nodes that were asked for groups. The answer to a
@@ -98,9 +103,12 @@
         try:
             self._start()
             while not self._is_decided():
-                with trio.move_on_at(self._next_wakeup_s()):
+                wakeup_s = self._next_wakeup_s()
+                with trio.move_on_at(wakeup_s):
                     await self._wake.wait()
                 self._wake = trio.Event()
+                if trio.current_time() > wakeup_s + PAUSE_S:
+                    self._postpone_repeats()
                 self._run_due_actions()
             self._result = self._build_result()
             return self._result
@@ -387,6 +395,13 @@
         shard.failed = True
         self._failed_count += 1
 
+    def _postpone_repeats(self) -> None:
+        resume_s = trio.current_time() + RESUME_DELAY_S
+        self._hedge_at_s = max(self._hedge_at_s, resume_s)
+        self._check_groups_at_s = max(self._check_groups_at_s, resume_s)
+        for shard in self._shards.values():
+            shard.retry_at_s = max(shard.retry_at_s, resume_s)
+
     def _run_due_actions(self) -> None:
         now_s = trio.current_time()
         if self._parts_at_goal is None and now_s >= self._deadlines.goal_s:
--- a/tests/test_forward_delegation.py
+++ b/tests/test_forward_delegation.py
@@ -9,6 +9,7 @@
 from geraniumstair import discovery
 from geraniumstair import forward
 from geraniumstair import routing
+from geraniumstair._generated import messages
 from tests import builders_gateway as builders
 
 
@@ -226,6 +227,51 @@
 
         builders.run_on_virtual_clock(test)
 
+    def test_endpoints_that_only_other_nodes_use_count_as_attempts(
+        self,
+    ) -> None:
+        # A node that freezes and wakes again makes the calls of a request that
+        # was repeated meanwhile, to other endpoints of the shard.
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery, copies="xyz", min_coverage=0.2)
+            site.local.set_members([f"n{i}" for i in range(40)])
+            site.remote_network.drops_requests = True
+            for i in range(2, 8):
+                for copy in "xyz":
+                    site.local.site.behaviour(f"{copy}{i}").reply = None
+            await site.search()
+            called = [call.service for _, call, _ in site.local.site.sent]
+            for i in range(2, 8):
+                self.assertEqual(called.count(f"s{i}"), 1)
+
+        builders.run_on_virtual_clock(test)
+
+    def test_a_node_that_was_paused_does_not_repeat_what_has_ended(
+        self,
+    ) -> None:
+        # The hedges of a node that woke from a pause came before it read that
+        # the request had been repeated elsewhere.
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery, copies="xyz", min_coverage=0.9)
+            for i in range(2, 8):
+                for copy in "xyz":
+                    site.remote.site.behaviour(f"{copy}{i}").reply = None
+            nursery.start_soon(site.search)
+            await trio.sleep(0.02)
+            clock = trio.lowlevel.current_clock()
+            assert isinstance(clock, trio.testing.MockClock)
+            clock.jump(0.8)
+            await trio.sleep(0.005)
+            for call_id in (1, 2):
+                end = messages.PartsEnd(parts_id=call_id)
+                await site.remote_network.handlers[messages.PartsEnd]("n1", end)
+            await trio.sleep(0.5)
+            called = [call.service for _, call, _ in site.remote.site.sent]
+            for i in range(2, 8):
+                self.assertEqual(called.count(f"s{i}"), 1)
+
+        builders.run_on_virtual_clock(test)
+
     def test_a_busy_node_is_waited_for_without_retry_budget(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             site = _Site(nursery, copies="xyz", min_coverage=0.9)
