--- a/src/geraniumstair/forward/_parts_server.py
+++ b/src/geraniumstair/forward/_parts_server.py
@@ -1,5 +1,6 @@
 """Calls shards on behalf of other nodes; see `_delegation`."""
 
+import collections
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -12,6 +13,10 @@
 from geraniumstair.forward import _result
 from geraniumstair.forward import _shard
 
+# Ends of requests that are remembered until their requests are handled. A node
+# that was paused reads both at once, and may handle the end first.
+MAX_EARLY_ENDS = 256
+
 
 class Gatherer(Protocol):
     """Calls shards from this node."""
@@ -55,6 +60,9 @@
         self._gatherer = gatherer
         self._lifecycle = lifecycle
         self._scopes: dict[tuple[str, int], trio.CancelScope] = {}
+        self._early_ends: collections.deque[tuple[str, int]] = (
+            collections.deque(maxlen=MAX_EARLY_ENDS)
+        )
         network.register_handler(messages.PartsRequest, self._on_request)
         network.register_handler(messages.PartsEnd, self._on_end)
 
@@ -65,6 +73,9 @@
         if isinstance(route, str):
             return _decline(route, ran=False)
         key = (sender, message.parts_id)
+        if key in self._early_ends:
+            self._early_ends.remove(key)
+            return _decline("ended by the sender", ran=False)
         reply = _decline("cancelled by the sender", ran=True)
         with trio.CancelScope() as scope:
             self._scopes[key] = scope
@@ -80,9 +91,12 @@
         return reply
 
     async def _on_end(self, sender: str, message: messages.PartsEnd) -> None:
-        scope = self._scopes.get((sender, message.parts_id))
+        key = (sender, message.parts_id)
+        scope = self._scopes.get(key)
         if scope is not None:
             scope.cancel()
+        else:
+            self._early_ends.append(key)
 
     def _find_route(
         self, message: messages.PartsRequest
--- a/tests/test_forward_delegation.py
+++ b/tests/test_forward_delegation.py
@@ -272,6 +272,37 @@
 
         builders.run_on_virtual_clock(test)
 
+    def test_a_request_that_ended_before_it_is_handled_is_not_run(self) -> None:
+        # A node that wakes reads a request and its end at once. It made calls
+        # and repeats that had been made elsewhere.
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery)
+            handlers = site.remote_network.handlers
+            handle_request = handlers[messages.PartsRequest]
+            handle_end = handlers[messages.PartsEnd]
+            for parts_id, called in ((7, 0), (8, 2)):
+                request = messages.PartsRequest(
+                    parts_id=parts_id,
+                    version=1,
+                    shards=["s2", "s3"],
+                    elapsed_ms=0.0,
+                    remaining_ms=1000.0,
+                    request_id=b"q1",
+                    method=b"GET",
+                    target=b"/p/x",
+                    host="h.example",
+                    path="/p/x",
+                    fields=[],
+                    body=b"",
+                    has_body=False,
+                )
+                await handle_end("n1", messages.PartsEnd(parts_id=7))
+                reply = await handle_request("n1", request)
+                self.assertEqual(reply.ran, called > 0)
+                self.assertEqual(len(site.remote.site.sent), called)
+
+        builders.run_on_virtual_clock(test)
+
     def test_a_busy_node_is_waited_for_without_retry_budget(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             site = _Site(nursery, copies="xyz", min_coverage=0.9)
