Log which services get repeated calls, and what the budget charges

Cause: no log line says how many repeats a node sends to a service. Repeats of calls that a node makes for another one write no line at all, so the hypotheses on the large site cannot be told apart from the product's logs.

Measured: RepeatReportTest; one line in ten seconds and node, only if there were repeats.

Conclusion: the line names requests, calls, charged repeats and the node's part of the fixed number.

--- a/src/geraniumstair/forward/_budget.py
+++ b/src/geraniumstair/forward/_budget.py
@@ -35,12 +35,35 @@
     extra_repeats: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceUsage:
+    """What this node sent to one service since the previous report.
+
+    Attributes:
+        service: The service.
+        requests: First calls of requests.
+        calls: All calls, repeats included.
+        repeats: Calls that consumed a token.
+        node_extra_repeats: This node's part of the fixed number of repeats in a
+            window.
+    """
+
+    service: str
+    requests: int
+    calls: int
+    repeats: int
+    node_extra_repeats: float
+
+
 class _Bucket:
-    __slots__ = ("refilled_at_s", "tokens")
+    __slots__ = ("calls", "refilled_at_s", "repeats", "requests", "tokens")
 
     def __init__(self, tokens: float, refilled_at_s: float) -> None:
         self.tokens = tokens
         self.refilled_at_s = refilled_at_s
+        self.requests = 0
+        self.calls = 0
+        self.repeats = 0
 
 
 class RetryBudget:
@@ -79,6 +102,11 @@
         bucket = self._refill_bucket(service)
         tokens = bucket.tokens + USED_SHARE * self._limits.ratio
         bucket.tokens = min(self._compute_capacity(service), tokens)
+        bucket.requests += 1
+
+    def record_call(self, service: str) -> None:
+        """Counts a call for the report, whether it is a repeat or not."""
+        self._refill_bucket(service).calls += 1
 
     def has_token(self, service: str) -> bool:
         """Returns whether the budget allows a repeat now."""
@@ -88,9 +116,34 @@
         """Consumes a token for a repeat; returns False if none is left."""
         if not self.has_token(service):
             return False
-        self._buckets[service].tokens -= 1
+        bucket = self._buckets[service]
+        bucket.tokens -= 1
+        bucket.repeats += 1
         return True
 
+    @property
+    def window_s(self) -> float:
+        """Window in which the site counts repeats."""
+        return self._limits.window_s
+
+    def collect_usage(self) -> list[ServiceUsage]:
+        """Returns the services called since the previous report."""
+        usage = []
+        for service, bucket in self._buckets.items():
+            if not bucket.calls and not bucket.requests:
+                continue
+            usage.append(
+                ServiceUsage(
+                    service,
+                    bucket.requests,
+                    bucket.calls,
+                    bucket.repeats,
+                    self._compute_node_extra_repeats(service),
+                )
+            )
+            bucket.requests = bucket.calls = bucket.repeats = 0
+        return usage
+
     def _compute_capacity(self, service: str) -> float:
         return max(1.0, BURST_SHARE * self._compute_node_extra_repeats(service))
 
--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -71,7 +71,18 @@
         self._urgent_priorities: dict[tuple[str, ...], int] = {}
 
     async def run(self) -> None:
-        """Sweeps the endpoint pool whenever needed, until cancelled."""
+        """Sweeps the endpoint pool and reports repeats, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._sweep_loop)
+            nursery.start_soon(self._report_loop)
+
+    async def _report_loop(self) -> None:
+        budget = self._context.budget
+        while True:
+            await trio.sleep(budget.window_s)
+            _report.report_repeats(budget.collect_usage())
+
+    async def _sweep_loop(self) -> None:
         pool = self._context.pool
         while True:
             await pool.wait_for_sweep()
--- a/src/geraniumstair/forward/_report.py
+++ b/src/geraniumstair/forward/_report.py
@@ -1,6 +1,8 @@
 """Counts requests, and logs the late, repeated, partial or refused ones."""
 
 from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
 import logging
 from typing import Any
 from typing import Protocol
@@ -9,11 +11,14 @@
 
 from geraniumstair import observe
 from geraniumstair import routing
+from geraniumstair.forward import _budget
 from geraniumstair.forward import _call
 from geraniumstair.forward import _metrics
 from geraniumstair.forward import _result
 
 _LOG = logging.getLogger(__name__)
+# Services listed in one log line about repeats.
+MAX_REPORTED_SERVICES = 3
 
 
 class RequestHandler(Protocol):
@@ -65,3 +70,24 @@
             **handler.describe(),
         ),
     )
+
+
+def report_repeats(usage: Sequence[_budget.ServiceUsage]) -> None:
+    """Logs the services that got most calls beyond the first of a request."""
+    repeated = sorted(
+        (u for u in usage if u.calls > u.requests),
+        key=lambda u: u.requests - u.calls,
+    )
+    if not repeated:
+        return
+    _LOG.info(
+        "forward: services got repeated calls",
+        extra=observe.fields(
+            services=len(usage),
+            requests=sum(u.requests for u in usage),
+            calls=sum(u.calls for u in usage),
+            most_repeated=[
+                dataclasses.asdict(u) for u in repeated[:MAX_REPORTED_SERVICES]
+            ],
+        ),
+    )
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -329,6 +329,7 @@
         shard.ran_on.add(replica.entry.endpoint_id)
         shard.runs += 1
         shard.open_calls[call] = replica
+        self._context.budget.record_call(shard.service)
         replica.submit(call)
 
     def _on_finished(self, call: _call.Call, reply: _call.Reply) -> None:
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -95,6 +95,32 @@
         )
 
 
+class RepeatReportTest(unittest.TestCase):
+    """Guards against repeats that no log line explains."""
+
+    def test_repeats_are_reported_with_the_services_that_got_most(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.route()
+            fixture = builders.ForwarderFixture(
+                nursery, [builders.endpoint_entry("x")], [route]
+            )
+            fixture.site.behaviour("x").reply = forward.Reply(
+                forward.Outcome.REJECTED, "full", 503
+            )
+            await fixture.forwarder.forward(builders.caller_request(), route)
+            with self.assertLogs("geraniumstair.forward") as logs:
+                await trio.sleep(11)
+            (usage,) = logs.records[0].fields["most_repeated"]
+            self.assertEqual(usage["service"], "s1")
+            self.assertEqual(usage["requests"], 1)
+            self.assertEqual(usage["calls"], usage["repeats"] + 1)
+            self.assertGreater(usage["repeats"], 1)
+            with self.assertNoLogs("geraniumstair.forward"):
+                await trio.sleep(10)
+
+        builders.run_on_virtual_clock(test)
+
+
 class SearchTest(unittest.TestCase):
     """Guards against false, late or needlessly incomplete answers."""
 
