--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -77,6 +77,11 @@
     return routing.Route(**(fields | changes))
 
 
+def split_part(service: str, weight: float = 1.0) -> routing.SplitPart:
+    """Returns a part of a route's split."""
+    return routing.SplitPart(service, weight)
+
+
 def search_route(shards: Sequence[str], **changes: Any) -> routing.Route:
     """Returns a route that asks all shards."""
     fields = {
@@ -353,6 +358,7 @@
         self.budget = forward.RetryBudget(
             budget or forward.BudgetLimits(0.2, 10.0, 50.0), trio.current_time
         )
+        self._node_id = node_id
         grants = None
         if network is not None:
             grants = forward.LimitGrants(
@@ -371,6 +377,14 @@
         """Sets the nodes of the site; all are in availability zone `a`."""
         self.pool.set_members({n: forward.NodeInfo("a") for n in members})
 
+    def set_nodes(self, nodes: Mapping[str, forward.NodeInfo]) -> None:
+        """Sets the nodes of the site, which share the budget."""
+        self.pool.set_calls_groups(
+            forward.calls_for_others(self._node_id, nodes)
+        )
+        self.pool.set_members(nodes)
+        self.budget.set_node_counter(self.pool.node_count)
+
     async def remove(self, endpoint_id: str) -> None:
         """Drains and removes an endpoint after a short delay."""
         await trio.sleep(0.1)
