Divide the budget of repeats among all nodes that call a shard

Cause: the fixed number of repeats of a shard of large searches was divided by 12, the greatest number of nodes of a zone that call shards for others. But each of 195 nodes calls the shard if a route leads to it alone, and took a twelfth (30.5 of 365). Class of fault: a bound on the sum over all nodes that rests on an assumption about who calls. Now the nodes that are asked first for a shard, in the zones of its endpoints, divide half of it, and all others the other half. A process starts with a quarter of its saved part instead of one repeat at least.

Ruled out: hedges of the nodes that call for others (86 other shards of the same searches have no excess and no rejections), restarts (127 nodes repeat, five were restarted), calls that the budget does not charge (log lines of: 1,653 charged, 1,491 calls beyond the first).

--- a/src/geraniumstair/forward/__init__.py
+++ b/src/geraniumstair/forward/__init__.py
@@ -14,7 +14,7 @@
 from geraniumstair.forward._call import Reply
 from geraniumstair.forward._delegation import Delegation
 from geraniumstair.forward._delegation_nodes import NodeInfo
-from geraniumstair.forward._delegation_nodes import calls_for_others
+from geraniumstair.forward._delegation_nodes import select_delegation_nodes
 from geraniumstair.forward._delegation_nodes import select_delegation_peers
 from geraniumstair.forward._delegation_nodes import select_inter_zone_nodes
 from geraniumstair.forward._endpoints import EndpointPool
@@ -70,8 +70,8 @@
     "StatedLimits",
     "TcpLinkFactory",
     "TokenBucket",
-    "calls_for_others",
     "merge_greatest_records",
+    "select_delegation_nodes",
     "select_delegation_peers",
     "select_inter_zone_nodes",
 ]
--- a/src/geraniumstair/forward/_budget.py
+++ b/src/geraniumstair/forward/_budget.py
@@ -2,9 +2,9 @@
 
 For each service, the site allows repeats up to a ratio of the requests in any
 window, plus a fixed number. Each node gains tokens by the ratio from its own
-requests. The fixed number is divided by the number of nodes, so the nodes
-exchange no messages, and their repeats together stay within the limits for any
-distribution of callers.
+requests. The fixed number is divided among the nodes, so they exchange no
+messages, and their repeats together stay within the limits for any distribution
+of callers.
 """
 
 from collections.abc import Callable
@@ -80,21 +80,23 @@
         self._limits = limits
         self._clock = clock
         self._buckets: dict[str, _Bucket] = {}
-        self._count_nodes: Callable[[str], int] = _count_single_node
+        self._find_share: Callable[[str], float] = _take_all
 
     def set_limits(self, limits: BudgetLimits) -> None:
         """Replaces the limits of the site."""
         self._limits = limits
 
-    def set_node_counter(self, count_nodes: Callable[[str], int]) -> None:
-        """Sets the function that counts the nodes that call a service."""
-        self._count_nodes = count_nodes
+    def set_share_finder(self, find_share: Callable[[str], float]) -> None:
+        """Sets the function that returns this node's share of the fixed number.
+
+        Args:
+            find_share: Returns the share for a service, 0 to 1.
+        """
+        self._find_share = find_share
 
     def _compute_node_extra_repeats(self, service: str) -> float:
         return (
-            USED_SHARE
-            * self._limits.extra_repeats
-            / max(1, self._count_nodes(service))
+            USED_SHARE * self._limits.extra_repeats * self._find_share(service)
         )
 
     def record_request(self, service: str) -> None:
@@ -144,8 +146,11 @@
             bucket.requests = bucket.calls = bucket.repeats = 0
         return usage
 
+    def _compute_burst(self, service: str) -> float:
+        return BURST_SHARE * self._compute_node_extra_repeats(service)
+
     def _compute_capacity(self, service: str) -> float:
-        return max(1.0, BURST_SHARE * self._compute_node_extra_repeats(service))
+        return max(1.0, self._compute_burst(service))
 
     def _refill_bucket(self, service: str) -> _Bucket:
         now_s = self._clock()
@@ -153,8 +158,8 @@
         if bucket is None:
             # The previous process of this node may have used its share shortly
             # before, so a new process starts with few tokens.
-            capacity = self._compute_capacity(service)
-            bucket = _Bucket(max(1.0, INITIAL_SHARE * capacity), now_s)
+            tokens = INITIAL_SHARE * self._compute_burst(service)
+            bucket = _Bucket(tokens, now_s)
             self._buckets[service] = bucket
             return bucket
         elapsed_s = now_s - bucket.refilled_at_s
@@ -169,5 +174,5 @@
         return bucket
 
 
-def _count_single_node(service: str) -> int:
-    return 1
+def _take_all(service: str) -> float:
+    return 1.0
--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -41,7 +41,6 @@
 # For fewer shards, the savings don't outweigh the message and the time of the
 # extra hop.
 MIN_GROUP_SHARDS = 3
-GROUP_SHARDS = 10
 # The groups of a route are recomputed after this time.
 PLAN_TTL_S = 0.1
 # A node that failed gets no requests for this time, which doubles with each
@@ -366,8 +365,7 @@
         ]
         # Groups in the own zone are cut by position in the route, so that all
         # nodes form the same groups, whichever endpoints they can use.
-        for start in range(0, len(shards), GROUP_SHARDS):
-            block = shards[start : start + GROUP_SHARDS]
+        for block in _delegation_nodes.split_into_blocks(shards):
             local = [s for s in block if self._zone in zones_of[s]]
             if local:
                 groups.append(_ZoneGroup(self._zone, block[0], local))
--- a/src/geraniumstair/forward/_delegation_nodes.py
+++ b/src/geraniumstair/forward/_delegation_nodes.py
@@ -4,8 +4,10 @@
 connections of the selected nodes stay in use.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+from collections.abc import Set
 import dataclasses
 import math
 
@@ -21,6 +23,11 @@
 # Selected nodes of a zone that are called from other zones. Every node of the
 # site keeps streams to them.
 INTER_ZONE_NODES = 3
+# Shards of a large search that form one block.
+BLOCK_SHARDS = 10
+# Nodes of a zone that are asked for a block: the first one, and the next while
+# it does not answer.
+FIRST_RANKED_NODES = 2
 _HASH_RANGE = 2.0**64
 _MIN_CORES = 0.05
 
@@ -114,10 +121,54 @@
     return frozenset(n for node_ids in by_zone.values() for n in node_ids)
 
 
-def calls_for_others(node_id: str, nodes: Mapping[str, NodeInfo]) -> bool:
-    """Returns whether a node calls shards on behalf of other nodes."""
-    own_zone = nodes[node_id].availability_zone
-    return node_id in select_delegation_nodes(nodes).get(own_zone, ())
+def split_into_blocks(shards: Sequence[str]) -> list[Sequence[str]]:
+    """Returns the shards of a large search that the same node calls.
+
+    The first shard of a block is the key by which all nodes select that node.
+    """
+    return [
+        shards[start : start + BLOCK_SHARDS]
+        for start in range(0, len(shards), BLOCK_SHARDS)
+    ]
+
+
+def find_block_keys(
+    searches: Iterable[Sequence[str]],
+) -> dict[str, set[str]]:
+    """Returns the keys of the blocks that contain each shard.
+
+    Args:
+        searches: The shards of each large search.
+    """
+    keys: dict[str, set[str]] = {}
+    for shards in searches:
+        for block in split_into_blocks(shards):
+            for shard in block:
+                keys.setdefault(shard, set()).add(block[0])
+    return keys
+
+
+def select_group_callers(
+    selected: Mapping[str, Sequence[str]],
+    keys: Set[str],
+    nodes: Mapping[str, NodeInfo],
+) -> frozenset[str]:
+    """Returns the nodes that are asked first for a shard of a large search.
+
+    Args:
+        selected: The nodes that call shards for others, in the zones of the
+            shard's endpoints.
+        keys: Keys of the blocks that contain the shard.
+        nodes: What is known about these nodes.
+    """
+    callers: set[str] = set()
+    for node_ids in selected.values():
+        known = [n for n in node_ids if n in nodes]
+        callers.update(known[:INTER_ZONE_NODES])
+        for key in keys:
+            ranked = rank_by_weight(known, key, nodes)
+            callers.update(ranked[:FIRST_RANKED_NODES])
+    return frozenset(callers)
 
 
 def rank_by_weight(
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -41,6 +41,11 @@
 LARGE_SEARCH_SHARDS = 45
 # Number of nodes that call a shard whose search is divided into groups.
 GROUPED_SERVICE_NODES = 12
+# Share of a grouped service's fixed number of repeats that the nodes calling it
+# for others divide among themselves. The rest is for all other nodes: single
+# requests reach the service through any node, and so do searches whose groups
+# cannot be delegated.
+GROUPED_REPEATS_SHARE = 0.5
 # A node that is no longer a member still counts for this time, because the
 # store may have removed its registration while it serves. Equal to the duration
 # of the registration's lease.
@@ -105,8 +110,12 @@
         self._cold_limits: dict[str, _rates.TokenBucket] = {}
         self._table: routing.RouteTable | None = None
         self._preconnected_services: frozenset[str] = frozenset()
-        # True if this node calls grouped services for other nodes.
+        # By zone, the nodes that call grouped services for others.
+        self._group_nodes: Mapping[str, Sequence[str]] = {}
+        # True if this node is one of them, or none is known yet.
         self._calls_groups = True
+        # Nodes that call a grouped service for others; found when needed.
+        self._group_callers: dict[str, frozenset[str]] = {}
         self._current_members: frozenset[str] = frozenset([settings.node_id])
         self._last_member_at_s: dict[str, float] = {}
         self._node_infos: dict[str, _delegation_nodes.NodeInfo] = {
@@ -124,6 +133,7 @@
         self._sweep_needed = trio.Event()
         self._zones_out: frozenset[str] = frozenset()
         self._grouped_services: frozenset[str] = frozenset()
+        self._block_keys: Mapping[str, Set[str]] = {}
 
     # ---- routes, members and registry ----
 
@@ -136,6 +146,12 @@
             if len(route.shards) >= LARGE_SEARCH_SHARDS
             for service in route.shards
         )
+        self._block_keys = _delegation_nodes.find_block_keys(
+            route.shards
+            for route in table.routes()
+            if len(route.shards) >= LARGE_SEARCH_SHARDS
+        )
+        self._group_callers.clear()
         # Only a few nodes call grouped services, and they connect on demand.
         self._preconnected_services = table.services() - self._grouped_services
         self._refresh_all()
@@ -172,8 +188,15 @@
         self._stated_limits.set_nodes(self._node_infos)
         self._refresh_all()
 
-    def set_calls_groups(self, calls_groups: bool) -> None:
-        """Sets whether this node calls grouped services for other nodes."""
+    def set_group_nodes(self, nodes: Mapping[str, Sequence[str]]) -> None:
+        """Sets the nodes that call grouped services for others, by zone."""
+        if nodes == self._group_nodes:
+            return
+        self._group_nodes = nodes
+        self._group_callers.clear()
+        calls_groups = any(
+            self._settings.node_id in node_ids for node_ids in nodes.values()
+        )
         if calls_groups != self._calls_groups:
             self._calls_groups = calls_groups
             for replica in self._replicas.values():
@@ -274,6 +297,7 @@
             if replica.entry.service in services:
                 found.setdefault(replica.entry.service, []).append(replica)
         for service in services:
+            self._group_callers.pop(service, None)
             self._by_service.pop(service, None)
             self._registered.pop(service, None)
         for service, replicas in found.items():
@@ -360,6 +384,37 @@
             return min(GROUPED_SERVICE_NODES, len(self._recent_members))
         return len(self._recent_members)
 
+    def repeat_share(self, service: str) -> float:
+        """Returns this node's share of a service's fixed number of repeats.
+
+        The shares of all nodes add up to 1 at most.
+        """
+        node_count = len(self._recent_members)
+        if service not in self._grouped_services:
+            return 1 / node_count
+        callers = self._find_group_callers(service)
+        other_count = node_count - len(callers)
+        if not callers or other_count <= 0:
+            return 1 / node_count
+        if self._settings.node_id in callers:
+            return GROUPED_REPEATS_SHARE / len(callers)
+        return (1 - GROUPED_REPEATS_SHARE) / other_count
+
+    def _find_group_callers(self, service: str) -> frozenset[str]:
+        callers = self._group_callers.get(service)
+        if callers is None:
+            zones = {
+                r.entry.availability_zone
+                for r in self._registered.get(service, ())
+            }
+            callers = _delegation_nodes.select_group_callers(
+                {z: n for z, n in self._group_nodes.items() if z in zones},
+                self._block_keys.get(service, frozenset()),
+                self._node_infos,
+            )
+            self._group_callers[service] = callers
+        return callers
+
     # ---- load balancing ----
 
     def choose_replica(
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -189,7 +189,7 @@
             random.Random(),
         )
         self._pool = pool
-        self._budget.set_node_counter(pool.node_count)
+        self._budget.set_share_finder(pool.repeat_share)
         state = _state.DesiredState(
             self._adapters.decoder, self._registry, pool, self._rollouts
         )
@@ -349,9 +349,7 @@
     def _set_members(self, nodes: Mapping[str, forward.NodeInfo]) -> None:
         members = frozenset(nodes)
         self._delegation.set_nodes(nodes)
-        self._pool.set_calls_groups(
-            forward.calls_for_others(self._settings.node_id, nodes)
-        )
+        self._pool.set_group_nodes(forward.select_delegation_nodes(nodes))
         # Every node keeps streams to these nodes, so evidence reaches them.
         self._rollouts.set_judge_candidates(
             [
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -358,7 +358,6 @@
         self.budget = forward.RetryBudget(
             budget or forward.BudgetLimits(0.2, 10.0, 50.0), trio.current_time
         )
-        self._node_id = node_id
         grants = None
         if network is not None:
             grants = forward.LimitGrants(
@@ -379,11 +378,9 @@
 
     def set_nodes(self, nodes: Mapping[str, forward.NodeInfo]) -> None:
         """Sets the nodes of the site, which share the budget."""
-        self.pool.set_calls_groups(
-            forward.calls_for_others(self._node_id, nodes)
-        )
+        self.pool.set_group_nodes(forward.select_delegation_nodes(nodes))
         self.pool.set_members(nodes)
-        self.budget.set_node_counter(self.pool.node_count)
+        self.budget.set_share_finder(self.pool.repeat_share)
 
     async def remove(self, endpoint_id: str) -> None:
         """Drains and removes an endpoint after a short delay."""
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -46,7 +46,7 @@
         )
         budgets = [forward.RetryBudget(limits, lambda: now_s) for _ in range(7)]
         for budget in budgets:
-            budget.set_node_counter(lambda service: 7)
+            budget.set_share_finder(lambda service: 1 / 7)
         repeats_s: list[float] = []
         requests_s: list[float] = []
         for tick in range(4000):
@@ -77,7 +77,7 @@
         )
         budgets = [forward.RetryBudget(limits, lambda: now_s) for _ in range(7)]
         for budget in budgets:
-            budget.set_node_counter(lambda service: 7)
+            budget.set_share_finder(lambda service: 1 / 7)
         repeats = 0
         requests = 0
         for tick in range(3000):
@@ -694,7 +694,9 @@
                         limits={"max_connections": 120},
                         members=[f"n{i}" for i in range(1, 196)],
                     )
-                    fixture.pool.set_calls_groups(calls_groups)
+                    fixture.pool.set_group_nodes(
+                        {"a": ["n1" if calls_groups else "n2"]}
+                    )
                     await fixture.forwarder.forward(
                         builders.caller_request(), route
                     )
--- a/tests/test_forward_load.py
+++ b/tests/test_forward_load.py
@@ -184,7 +184,7 @@
             fixture = builders.ForwarderFixture(
                 nursery, entries, [route], budget=BUDGET
             )
-            fixture.budget.set_node_counter(lambda service: NODES)
+            fixture.budget.set_share_finder(lambda service: 1 / NODES)
             for entry in entries:
                 name = entry.endpoint_id
                 slowdown = (slow or {}).get(name, 1.0)
@@ -392,7 +392,7 @@
                     node_id=node_id,
                     site=site,
                 )
-                fixture.budget.set_node_counter(lambda service: NODES)
+                fixture.budget.set_share_finder(lambda service: 1 / NODES)
                 nursery.start_soon(send_searches, fixture, nursery, node_share)
             await trio.sleep(BURST_S + 2 * TIMEOUT_S)
             nursery.cancel_scope.cancel()
--- a/tests/test_forward_repeats.py
+++ b/tests/test_forward_repeats.py
@@ -116,6 +116,39 @@
 
         builders.run_on_virtual_clock(test)
 
+    def test_the_shares_of_all_nodes_add_up_to_one(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            nodes = _build_nodes()
+            total = {SHARD: 0.0, f"s{SHARD_COUNT - 1}": 0.0, "other": 0.0}
+            for node_id in nodes:
+                pool = builders.ForwarderFixture(
+                    nursery,
+                    [
+                        builders.endpoint_entry(
+                            f"{service}-{zone}",
+                            service=service,
+                            availability_zone=zone,
+                        )
+                        for service in total
+                        for zone in "ab"
+                    ],
+                    [
+                        builders.search_route(
+                            [f"s{i}" for i in range(SHARD_COUNT)]
+                        )
+                    ],
+                    node_id=node_id,
+                ).pool
+                pool.set_group_nodes(forward.select_delegation_nodes(nodes))
+                pool.set_members(nodes)
+                for service in total:
+                    total[service] += pool.repeat_share(service)
+            for service, share in total.items():
+                with self.subTest(service=service):
+                    self.assertAlmostEqual(share, 1.0)
+
+        builders.run_on_virtual_clock(test)
+
     def test_a_restart_of_all_nodes_gives_them_few_repeats(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             site = _Site(nursery)
