Order the store's revisions across restores

What the site saw: after a drill in which the store came back from a copy, a confirmed change was not in force in time, and its route got 404.

Cause: revisions go back with a restore, and the mirror takes what has a smaller revision for old. Class of fault: an order that its source does not keep. The adapter now puts the store's count of restores in front of each revision, so that revisions rise over all histories, and asks for a new read if a watch was answered from another history. A write that refers to a revision of a lost history is not sent, because the store may have given it out again.

Ruled out: a comparison of versions alone (the change had a new version), waits of the watchers (they read the store every 15 ms). Weighed: a history beside each revision in the mirror, in the gossip and in rollouts; one number needs no change there.

--- a/src/geraniumstair/platform/_store.py
+++ b/src/geraniumstair/platform/_store.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 import logging
+from typing import Protocol
 from typing import TypeVar
 import urllib.parse
 
@@ -18,7 +19,7 @@
 from geraniumstair import store
 
 _LOG = logging.getLogger(__name__)
-_T = TypeVar("_T")
+_T = TypeVar("_T", bound="_ReplyBody")
 # Several times the response time of a slow service.
 TIMEOUT_MS = 1500.0
 MAX_CONCURRENCY = 8
@@ -27,11 +28,20 @@
 _NOT_FOUND_STATUS = 404
 _COMPACTED_STATUS = 410
 _COMPARE_FAILED_STATUS = 412
+# Rises each time when the service is restored from a copy.
+_GENERATION_HEADER = b"store-era"
 # A watch call of one key ends after this time and is repeated.
 WATCH_WAIT_MS = 10_000
 WATCH_RETRY_S = 0.5
 
 
+class _ReplyBody(Protocol):
+    """Body of a reply, whose revisions belong to one generation."""
+
+    def order_revisions(self, generation: int) -> None:
+        """Makes the revisions comparable with those of other generations."""
+
+
 class _Item(msgspec.Struct):
     key: str = msgspec.field(name="Key")
     value: str = msgspec.field(name="Value", default="")
@@ -40,6 +50,11 @@
     lease: int = msgspec.field(name="Lease", default=0)
     deleted: bool | int = msgspec.field(name="Deleted", default=False)
 
+    def order_revisions(self, generation: int) -> None:
+        """Makes the revisions comparable with those of other generations."""
+        self.revision = store.order_revision(generation, self.revision)
+        self.created = store.order_revision(generation, self.created)
+
 
 class _ItemReply(_Item):
     store_revision: int = msgspec.field(name="StoreRevision", default=0)
@@ -50,23 +65,49 @@
     store_revision: int = msgspec.field(name="StoreRevision")
     has_more: bool | int = msgspec.field(name="HasMore", default=False)
 
+    def order_revisions(self, generation: int) -> None:
+        """See `_Item.order_revisions`."""
+        self.store_revision = store.order_revision(
+            generation, self.store_revision
+        )
+        for item in self.items:
+            item.order_revisions(generation)
+
 
 class _WatchReply(msgspec.Struct):
     events: list[_Item]
     store_revision: int = msgspec.field(name="StoreRevision")
 
+    def order_revisions(self, generation: int) -> None:
+        """See `_Item.order_revisions`."""
+        self.store_revision = store.order_revision(
+            generation, self.store_revision
+        )
+        for item in self.events:
+            item.order_revisions(generation)
+
 
 class _CommitReply(msgspec.Struct):
     revision: int = msgspec.field(name="Revision")
 
+    def order_revisions(self, generation: int) -> None:
+        """See `_Item.order_revisions`."""
+        self.revision = store.order_revision(generation, self.revision)
+
 
 class _LeaseReply(msgspec.Struct):
     lease_id: int = msgspec.field(name="Lease")
 
+    def order_revisions(self, generation: int) -> None:
+        """Does nothing; leases have no revisions."""
+
 
 class _KeepAliveReply(msgspec.Struct):
     ttl_ms: float = msgspec.field(name="TtlMs", default=0.0)
 
+    def order_revisions(self, generation: int) -> None:
+        """Does nothing; leases have no revisions."""
+
 
 def _build_invalid_reply_failure(detail: str) -> result.Err[store.StoreFailure]:
     return result.Err(store.StoreFailure(store.Effect.UNKNOWN, detail))
@@ -105,6 +146,8 @@
             metrics=metrics,
             not_executed_statuses=frozenset([_UNAVAILABLE_STATUS]),
         )
+        # Newest generation of a reply.
+        self._generation = 0
 
     async def get(
         self, key: str
@@ -151,10 +194,22 @@
         self, transaction: store.Transaction
     ) -> result.Result[store.CommitOutcome, store.StoreFailure]:
         """Commits a transaction if all compares hold."""
+        expected = [
+            (c.key, *store.split_revision(c.expected))
+            for c in transaction.compares
+        ]
+        # The service gives out revisions again after a restore, so it may take
+        # one of the lost history for one of its own.
+        if any(rev and gen < self._generation for _, gen, rev in expected):
+            _LOG.info(
+                "platform: a write refers to a revision from before the store "
+                "was restored; it is not sent"
+            )
+            return result.Ok(store.CommitOutcome(False, 0))
         body = {
             "ExpectedRev": [
-                {"Key": c.key, "Revision": c.expected}
-                for c in transaction.compares
+                {"Key": key, "Revision": revision}
+                for key, _, revision in expected
             ],
             "Writes": [
                 {
@@ -248,8 +303,9 @@
     async def _watch(
         self, prefix: str, after: int, wait_ms: int
     ) -> result.Result[_WatchReply, store.StoreFailure]:
+        generation, revision = store.split_revision(after)
         query = urllib.parse.urlencode(
-            {"Prefix": prefix, "after": after, "WaitMs": wait_ms}
+            {"Prefix": prefix, "after": revision, "WaitMs": wait_ms}
         )
         reply = await self._send_get(
             "watch", f"/api/kv-watch?{query}", _WatchReply, wait_ms
@@ -258,7 +314,11 @@
             isinstance(reply, result.Err)
             and _get_rejected_status(reply.err_value) == _COMPACTED_STATUS
         ):
-            raise store.WatchCompactedError(after)
+            raise store.WatchCompactedError(revision)
+        if isinstance(reply, result.Ok) and after:
+            present, _ = store.split_revision(reply.ok_value.store_revision)
+            if present != generation:
+                raise store.StoreRestoredError(revision, present)
         return reply
 
     async def _read_items(
@@ -274,6 +334,10 @@
                 return reply
             page = reply.ok_value
             first_revision = first_revision or page.store_revision
+            if store.is_restored_since(first_revision, page.store_revision):
+                return _build_invalid_reply_failure(
+                    "the store was restored between two pages"
+                )
             items += page.items
             if not page.has_more or not page.items:
                 return result.Ok((items, first_revision))
@@ -285,7 +349,7 @@
         reply = await self._connection.send_request(
             kind, path, b"", repeatable=True, method="GET", wait_ms=wait_ms
         )
-        return _decode(reply, reply_type)
+        return self._decode(reply, reply_type)
 
     async def _send_post(
         self,
@@ -300,18 +364,30 @@
         reply = await self._connection.send_request(
             kind, path, content, repeatable=repeatable
         )
-        return _decode(reply, reply_type)
-
+        return self._decode(reply, reply_type)
 
-def _decode(
-    reply: result.Result[bytes, store.CallFailure], reply_type: type[_T]
-) -> result.Result[_T, store.StoreFailure]:
-    if isinstance(reply, result.Err):
-        return reply
-    try:
-        return result.Ok(msgspec.json.decode(reply.ok_value, type=reply_type))
-    except msgspec.MsgspecError as error:
-        return _build_invalid_reply_failure(f"invalid reply: {error}")
+    def _decode(
+        self,
+        reply: result.Result[store.Reply, store.CallFailure],
+        reply_type: type[_T],
+    ) -> result.Result[_T, store.StoreFailure]:
+        if isinstance(reply, result.Err):
+            return reply
+        try:
+            body = msgspec.json.decode(reply.ok_value.body, type=reply_type)
+        except msgspec.MsgspecError as error:
+            return _build_invalid_reply_failure(f"invalid reply: {error}")
+        generation = _parse_generation(reply.ok_value.headers)
+        self._generation = max(self._generation, generation)
+        body.order_revisions(generation)
+        return result.Ok(body)
+
+
+def _parse_generation(headers: Sequence[tuple[bytes, bytes]]) -> int:
+    for name, value in headers:
+        if name.lower() == _GENERATION_HEADER and value.isdigit():
+            return int(value)
+    return 0
 
 
 def _get_rejected_status(failure: store.StoreFailure) -> int:
--- a/src/geraniumstair/store/__init__.py
+++ b/src/geraniumstair/store/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from geraniumstair.store._connection import CallFailure
+from geraniumstair.store._connection import Reply
 from geraniumstair.store._connection import StoreConnection
 from geraniumstair.store._connection import StoreMetrics
 from geraniumstair.store._etcd import EtcdStore
@@ -18,8 +19,12 @@
 from geraniumstair.store._protocol import KeyValueStore
 from geraniumstair.store._protocol import Put
 from geraniumstair.store._protocol import StoreFailure
+from geraniumstair.store._protocol import StoreRestoredError
 from geraniumstair.store._protocol import Transaction
 from geraniumstair.store._protocol import WatchCompactedError
+from geraniumstair.store._revisions import is_restored_since
+from geraniumstair.store._revisions import order_revision
+from geraniumstair.store._revisions import split_revision
 from geraniumstair.store._vm_list import HttpVmList
 from geraniumstair.store._vm_list import Vm
 from geraniumstair.store._vm_list import VmList
@@ -39,13 +44,18 @@
     "KeyValue",
     "KeyValueStore",
     "Put",
+    "Reply",
     "StoreConnection",
     "StoreFailure",
     "StoreMetrics",
+    "StoreRestoredError",
     "Transaction",
     "Vm",
     "VmList",
     "VmListFailure",
     "VmState",
     "WatchCompactedError",
+    "is_restored_since",
+    "order_revision",
+    "split_revision",
 ]
--- a/src/geraniumstair/store/_connection.py
+++ b/src/geraniumstair/store/_connection.py
@@ -94,6 +94,19 @@
     rejected_status: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A reply of the service with status 200.
+
+    Attributes:
+        body: The body.
+        headers: Names and values of the headers; names may be in any case.
+    """
+
+    body: bytes
+    headers: Sequence[tuple[bytes, bytes]] = ()
+
+
 def _build_failure(
     effect: _protocol.Effect, detail: str, rejected_status: int = 0
 ) -> result.Err[CallFailure]:
@@ -154,7 +167,7 @@
         repeatable: bool,
         method: str = "POST",
         wait_ms: float = 0.0,
-    ) -> result.Result[bytes, CallFailure]:
+    ) -> result.Result[Reply, CallFailure]:
         """Makes one call, in several attempts if necessary.
 
         Args:
@@ -168,14 +181,14 @@
                 top of the timeout.
 
         Returns:
-            The reply body, or the failure of the last attempt. The failure
+            The reply, or the failure of the last attempt. The failure
             has effect NONE only if no attempt can have been executed.
         """
         started_s = time.perf_counter()
         deadline_s = trio.current_time() + self._timeout_s + wait_ms / 1000
         borrower = object()
         acquired = False
-        outcome: result.Result[bytes, CallFailure]
+        outcome: result.Result[Reply, CallFailure]
         # The deadline cancels only the wait for the limiter. Cancelling the
         # attempts here would hide whether bytes were sent.
         with trio.move_on_at(deadline_s):
@@ -201,7 +214,7 @@
         return outcome
 
     def _log_availability(
-        self, outcome: result.Result[bytes, CallFailure]
+        self, outcome: result.Result[Reply, CallFailure]
     ) -> None:
         """Logs the start and the end of an outage, not each failed call."""
         if isinstance(outcome, result.Ok) or outcome.err_value.rejected_status:
@@ -225,7 +238,7 @@
         body: bytes,
         deadline_s: float,
         repeatable: bool,
-    ) -> result.Result[bytes, CallFailure]:
+    ) -> result.Result[Reply, CallFailure]:
         effect = _protocol.Effect.NONE
         failure = CallFailure(effect, "no attempt was made")
         for attempts_left in range(len(self._urls), 0, -1):
@@ -254,7 +267,7 @@
         deadline_s: float,
         attempts_left: int,
         repeatable: bool,
-    ) -> result.Result[bytes, CallFailure]:
+    ) -> result.Result[Reply, CallFailure]:
         attempt_timeout_s = (
             max(0.0, deadline_s - trio.current_time()) / attempts_left
         )
@@ -285,7 +298,7 @@
 
 async def _read_reply(
     response: httpcore.Response, not_executed_statuses: frozenset[int]
-) -> result.Result[bytes, CallFailure]:
+) -> result.Result[Reply, CallFailure]:
     chunks = []
     size_bytes = 0
     async for chunk in response.aiter_stream():
@@ -297,7 +310,7 @@
         chunks.append(chunk)
     body = b"".join(chunks)
     if response.status == 200:
-        return result.Ok(body)
+        return result.Ok(Reply(body, response.headers))
     text = body[:_ERROR_DETAIL_BYTES].decode(errors="replace")
     detail = f"HTTP status {response.status}: {text}"
     if 400 <= response.status < 500:
--- a/src/geraniumstair/store/_etcd.py
+++ b/src/geraniumstair/store/_etcd.py
@@ -250,7 +250,7 @@
         if isinstance(reply, result.Err):
             return reply
         try:
-            return result.Ok(_etcd_wire.decode(reply.ok_value, reply_type))
+            return result.Ok(_etcd_wire.decode(reply.ok_value.body, reply_type))
         except msgspec.MsgspecError as error:
             return result.Err(
                 _protocol.StoreFailure(
--- a/src/geraniumstair/store/_protocol.py
+++ b/src/geraniumstair/store/_protocol.py
@@ -140,6 +140,22 @@
         self.compact_revision = compact_revision
 
 
+class StoreRestoredError(WatchCompactedError):
+    """The store was restored from a copy; its later history is gone.
+
+    Args:
+        revision: The revision from which changes were requested.
+        generation: Number of restores that the store reports.
+    """
+
+    def __init__(self, revision: int, generation: int) -> None:
+        super().__init__(revision)
+        self.generation = generation
+
+    def __str__(self) -> str:
+        return f"the store was restored from a copy ({self.generation} times)"
+
+
 class KeyValueStore(Protocol):
     """The key-value service; failed calls return an `Err`, not an exception."""
 
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -109,7 +109,10 @@
 
     def _reply(self, **fields: Any) -> Any:
         fields.setdefault("StoreRevision", self._revision)
-        return result.Ok(json.dumps(fields).encode())
+        headers = [
+            (GENERATION_HEADER.encode(), b"%d" % self._generation),
+        ]
+        return result.Ok(store.Reply(json.dumps(fields).encode(), headers))
 
     async def _watch(self, after: int, wait_s: float) -> Any:
         generation = self._generation
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -358,7 +358,7 @@
             return result.Err(
                 store.CallFailure(store.Effect.NONE, f"{reply}", reply)
             )
-        return result.Ok(json.dumps(reply).encode())
+        return result.Ok(store.Reply(json.dumps(reply).encode()))
 
 
 class PlatformStoreTest(unittest.TestCase):
