Space reads of the store that bring no newer revision

Cause: a read after a lost history counts as a success, so the next watch follows at once and fails in the same way. Class of fault: an error path without a wait.

Before: the test did not end on the earlier code, because reads that take no time follow each other without a wait. After: at most 20 reads in 10 s.

Conclusion: fixed for any reason of a read without progress.

--- a/src/geraniumstair/mirror/_store_watcher.py
+++ b/src/geraniumstair/mirror/_store_watcher.py
@@ -122,8 +122,13 @@
             )
             return False
         items, position = reply.ok_value
+        if not self._mirror.replace(items, position):
+            # Without a newer revision, the next watch fails as the last one.
+            _LOG.warning(
+                "mirror: the read of the store brought no newer revision"
+            )
+            return False
         self._record_answer()
-        self._mirror.replace(items, position)
         return True
 
     async def _watch_once(self) -> bool:
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -121,6 +121,25 @@
 
         builders.run_on_virtual_clock(test)
 
+    def test_reads_that_bring_no_newer_revision_are_spaced(self) -> None:
+        # A store that went back to an earlier revision was read again every
+        # 15 ms by each node that watched it.
+        async def test(nursery: trio.Nursery) -> None:
+            source = builders.FakeStore()
+            source.put("a", b"1")
+            source.revision = 50
+            selection = mirror.WatcherSelection("n1", trio.current_time)
+            watcher = mirror.StoreWatcher(source, mirror.Mirror(), selection)
+            nursery.start_soon(watcher.run)
+            await trio.sleep(2)
+            source.revision = 20
+            source.compacted_revision = 60
+            reads = source.reads
+            await trio.sleep(10)
+            self.assertLessEqual(source.reads - reads, 20)
+
+        builders.run_on_virtual_clock(test)
+
 
 class MirrorGossipTest(unittest.TestCase):
     """Guards against outdated mirrors of nodes that can't use the store."""
