Keep leaving endpoints out when a restored store shows them again

What the site would see: requests to an endpoint that had announced its shutdown, until it has written its entry again after a restore.

An entry of the same instance that is older by its own count (Seq) is ignored if the store was restored meanwhile; instances that announced their shutdown and are gone do not return. Without a restore nothing changes, so an entry of another writer cannot hide an endpoint.

Before: entries have neither count nor revision, so the three tests end with an error. After: they pass.

--- a/src/geraniumstair/discovery/_registry.py
+++ b/src/geraniumstair/discovery/_registry.py
@@ -10,10 +10,15 @@
 import dataclasses
 import enum
 
+from geraniumstair import store
+
 # Live endpoints register again within two seconds after the store returns. The
 # remaining time is for their heartbeat to arrive. The total has to stay below
 # the three seconds for which a removed endpoint continues to serve.
 LAPSE_GRACE_S = 2.4
+# Instances that announced their shutdown and are gone. They are remembered,
+# because a store that is restored from a copy shows them again.
+MAX_DEPARTED_INSTANCES = 1000
 
 
 class EndpointState(enum.Enum):
@@ -42,6 +47,9 @@
         slots: Requests that the endpoint processes at the same time.
         state: Whether the endpoint accepts requests.
         warmup_left_ms: Remaining warm-up time when the entry was written.
+        sequence: Rises with each registration of an instance; 0 if unknown.
+        revision: Revision of the entry, comparable across restores of the
+            store.
     """
 
     endpoint_id: str
@@ -54,6 +62,8 @@
     slots: int
     state: EndpointState
     warmup_left_ms: float = 0.0
+    sequence: int = dataclasses.field(default=0, compare=False)
+    revision: int = dataclasses.field(default=0, compare=False)
 
     @property
     def instance_key(self) -> tuple[str, int, str, int]:
@@ -76,10 +86,18 @@
         self._entries: dict[str, EndpointEntry] = {}
         self._lapsed_at_s: dict[str, float] = {}
         self._changed_services: set[str] = set()
+        # Last entries of instances that announced their shutdown.
+        self._departed: dict[tuple[str, int, str, int], EndpointEntry] = {}
         self.generation = 0
 
-    def put(self, entry: EndpointEntry) -> None:
-        """Adds or updates an endpoint."""
+    def put(self, entry: EndpointEntry) -> bool:
+        """Adds or updates an endpoint.
+
+        Returns:
+            False if the entry is older than what is known about its instance.
+        """
+        if self._is_outdated(entry):
+            return False
         self._lapsed_at_s.pop(entry.endpoint_id, None)
         known = self._entries.get(entry.endpoint_id)
         if known != entry:
@@ -87,6 +105,28 @@
             self._record_change(entry)
             if known is not None:
                 self._changed_services.add(known.service)
+        elif known is not None:
+            # A newer sequence and revision alone are no change.
+            self._entries[entry.endpoint_id] = entry
+        return True
+
+    def _is_outdated(self, entry: EndpointEntry) -> bool:
+        """Returns whether a restored store shows an earlier entry again."""
+        departed = self._departed.get(entry.instance_key)
+        if departed is not None and _is_outdated_by(entry, departed):
+            return True
+        known = self._entries.get(entry.endpoint_id)
+        return (
+            known is not None
+            and known.instance_key == entry.instance_key
+            and known.sequence != entry.sequence
+            and _is_outdated_by(entry, known)
+        )
+
+    def _remember_departed(self, entry: EndpointEntry) -> None:
+        if len(self._departed) >= MAX_DEPARTED_INSTANCES:
+            del self._departed[next(iter(self._departed))]
+        self._departed[entry.instance_key] = entry
 
     def _record_change(self, entry: EndpointEntry) -> None:
         self._changed_services.add(entry.service)
@@ -107,6 +147,7 @@
             # The endpoint announced its shutdown, so its return is not
             # expected.
             del self._entries[endpoint_id]
+            self._remember_departed(entry)
         else:
             self._entries[endpoint_id] = dataclasses.replace(
                 entry, state=EndpointState.LAPSED
@@ -138,3 +179,12 @@
     def get(self, endpoint_id: str) -> EndpointEntry | None:
         """Returns an endpoint by its identity; None if it is unknown."""
         return self._entries.get(endpoint_id)
+
+
+def _is_outdated_by(entry: EndpointEntry, known: EndpointEntry) -> bool:
+    # Without a start time, a restart can't be told from an earlier entry.
+    return (
+        bool(entry.started_ms and entry.sequence)
+        and store.is_restored_since(known.revision, entry.revision)
+        and entry.sequence <= known.sequence
+    )
--- a/src/geraniumstair/gateway/_state.py
+++ b/src/geraniumstair/gateway/_state.py
@@ -194,6 +194,18 @@
 
     def _apply_endpoint(self, entry: discovery.EndpointEntry) -> None:
         known = self._registry.get(entry.endpoint_id)
+        if not self._registry.put(entry):
+            _LOG.info(
+                "gateway: ignored an outdated entry of an endpoint",
+                extra=observe.fields(
+                    endpoint=entry.endpoint_id,
+                    state=entry.state.value,
+                    sequence=entry.sequence,
+                    known_state=known.state.value if known else None,
+                    known_sequence=known.sequence if known else None,
+                ),
+            )
+            return
         if known is None or known.state is not entry.state:
             _LOG.info(
                 "gateway: an endpoint is new or changed its state",
@@ -206,7 +218,6 @@
                     warmup_left_ms=entry.warmup_left_ms,
                 ),
             )
-        self._registry.put(entry)
 
     def _lapse_endpoint(self, endpoint_id: str) -> None:
         known = self._registry.get(endpoint_id)
--- a/src/geraniumstair/platform/_decoder.py
+++ b/src/geraniumstair/platform/_decoder.py
@@ -91,6 +91,7 @@
     slots: int = msgspec.field(name="Slots", default=1)
     warmup_left_ms: float = msgspec.field(name="WarmupLeftMs", default=0.0)
     started_ms: int = msgspec.field(name="born", default=0)
+    sequence: int = msgspec.field(name="Seq", default=0)
 
 
 class _Rollout(msgspec.Struct):
@@ -144,7 +145,7 @@
             return gateway.EndpointEntryRemoved(endpoint_id)
         try:
             server = msgspec.json.decode(item.value, type=_Server)
-            entry = _build_endpoint_entry(endpoint_id, server)
+            entry = _build_endpoint_entry(endpoint_id, server, item.revision)
         except (msgspec.MsgspecError, ValueError) as error:
             # A warning suffices: other writers may use the same prefix.
             _LOG.warning(
@@ -205,7 +206,7 @@
 
 
 def _build_endpoint_entry(
-    endpoint_id: str, server: _Server
+    endpoint_id: str, server: _Server, revision: int
 ) -> discovery.EndpointEntry:
     state = _ENDPOINT_STATES.get(server.state)
     if state is None:
@@ -224,6 +225,8 @@
         slots=max(1, server.slots),
         state=state,
         warmup_left_ms=max(0.0, server.warmup_left_ms),
+        sequence=server.sequence,
+        revision=revision,
     )
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 import unittest
 
 from geraniumstair import discovery
+from geraniumstair import store
 from tests import builders_gateway as builders
 
 LAPSED = discovery.EndpointState.LAPSED
@@ -49,6 +50,58 @@
         self.registry.mark_lapsed("unknown")
         self.assertEqual(self.registry.generation, generation)
 
+    def _put_restored(self, sequence: int, **changes: object) -> bool:
+        """Registers an endpoint as a store shows it after a restore."""
+        return self.registry.put(
+            builders.endpoint_entry(
+                "e1",
+                sequence=sequence,
+                revision=store.order_revision(2, 5),
+                **changes,
+            )
+        )
+
+    def _put_lost(self, sequence: int, **changes: object) -> None:
+        """Registers an endpoint in the history that a restore loses."""
+        self.registry.put(
+            builders.endpoint_entry(
+                "e1",
+                sequence=sequence,
+                revision=store.order_revision(1, 90),
+                **changes,
+            )
+        )
+
+    def test_a_restored_store_does_not_bring_a_leaving_endpoint_back(
+        self,
+    ) -> None:
+        self._put_lost(9, state=discovery.EndpointState.DRAINING)
+        self.assertFalse(self._put_restored(4))
+        self.assertIs(
+            self.registry.get("e1").state, discovery.EndpointState.DRAINING
+        )
+        self.registry.mark_lapsed("e1")
+        self.assertFalse(self._put_restored(4))
+        self.assertIsNone(self.registry.get("e1"))
+
+    def test_an_endpoint_that_registers_after_a_restore_is_used(self) -> None:
+        self._put_lost(9)
+        self.registry.mark_lapsed("e1")
+        self.assertFalse(self._put_restored(4))
+        self.assertTrue(self._put_restored(10))
+        self.assertIs(
+            self.registry.get("e1").state, discovery.EndpointState.READY
+        )
+        # Its next start counts from the beginning.
+        self.assertTrue(self._put_restored(1, started_ms=2))
+
+    def test_a_sequence_from_another_writer_does_not_hide_an_endpoint(
+        self,
+    ) -> None:
+        self._put_lost(10**15, slots=1)
+        self._put_lost(10, slots=4)
+        self.assertEqual(self.registry.get("e1").slots, 4)
+
     def test_each_start_has_its_own_instance_key(self) -> None:
         first = builders.endpoint_entry("e1", started_ms=1)
         second = builders.endpoint_entry("e1", started_ms=2)
