Keep operators' orders while a restored store lacks them

What the site would see: endpoints of a zone that an operator has taken out get requests for some seconds after a restore, and a rollout ends and starts again.

What operators wrote since the copy is missing until it is written again, about two seconds after the return. A removal that a restore only seems to make now takes effect after 2.5 s, unless the order is written again. Other removals take effect at once.

Before: the zone is in use again at once (test_a_zone_stays_out_... fails). After: both tests pass.

--- a/src/geraniumstair/gateway/_state.py
+++ b/src/geraniumstair/gateway/_state.py
@@ -11,11 +11,15 @@
 from geraniumstair import mirror
 from geraniumstair import observe
 from geraniumstair import routing
+from geraniumstair import store
 from geraniumstair.gateway import _rollouts
 
 _LOG = logging.getLogger(__name__)
 # How often lapsed endpoints are checked for expiry.
 EXPIRY_CHECK_INTERVAL_S = 0.1
+# What operators wrote since the copy from which the store was restored is
+# missing until they have written it again, which takes about two seconds.
+RESTORE_GRACE_S = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +77,11 @@
 )
 
 
+# Removals of operators' orders, which a restore of the store may only seem to
+# make.
+_HELD_REMOVALS = (RolloutOrderRemoved, ZoneChanged)
+
+
 class StateDecoder(Protocol):
     """Decodes the entries of operators and endpoints in the store."""
 
@@ -136,25 +145,67 @@
         self._listener = listener
         self._rollouts = rollouts
         self._zones_out: frozenset[str] = frozenset()
-        self._entry_lapsed = trio.Event()
+        # Revisions of operators' orders by key.
+        self._order_revisions: dict[str, int] = {}
+        # Removals of orders and when they take effect, by key.
+        self._held_removals: dict[str, tuple[float, StateChange]] = {}
+        self._has_pending = trio.Event()
 
     def apply(self, items: Sequence[mirror.MirrorItem]) -> None:
         """Applies changed items of the mirror."""
         generation = self._registry.generation
         for item in items:
             change = self._decoder.decode(item)
-            if change is not None:
-                self._apply_change(change)
+            if change is None or self._hold_removal(item, change):
+                continue
+            self._apply_change(change)
         if self._registry.generation != generation:
             self._listener.apply_registry_changes()
 
+    def _hold_removal(
+        self, item: mirror.MirrorItem, change: StateChange
+    ) -> bool:
+        """Holds a removal that may be missing history of a restored store."""
+        if isinstance(change, EndpointChanged | EndpointEntryRemoved):
+            return False
+        known = self._order_revisions.get(item.key)
+        if item.value is not None:
+            self._order_revisions[item.key] = item.revision
+            self._held_removals.pop(item.key, None)
+            return False
+        self._order_revisions.pop(item.key, None)
+        if (
+            known is None
+            or not isinstance(change, _HELD_REMOVALS)
+            or not store.is_restored_since(known, item.revision)
+        ):
+            return False
+        _LOG.info(
+            "gateway: an order is missing in the restored store; it is kept "
+            "for %.1f s",
+            RESTORE_GRACE_S,
+            extra=observe.fields(key=item.key),
+        )
+        due_s = trio.current_time() + RESTORE_GRACE_S
+        self._held_removals[item.key] = (due_s, change)
+        self._has_pending.set()
+        return True
+
+    def _apply_held_removals(self) -> None:
+        now_s = trio.current_time()
+        due = [k for k, held in self._held_removals.items() if held[0] <= now_s]
+        for key in due:
+            _, change = self._held_removals.pop(key)
+            self._apply_change(change)
+
     async def run_expiry_loop(self) -> None:
-        """Removes endpoints that stay lapsed, until cancelled."""
+        """Applies removals that were delayed, until cancelled."""
         while True:
-            if not self._registry.has_lapsed:
-                await self._entry_lapsed.wait()
-                self._entry_lapsed = trio.Event()
+            if not self._registry.has_lapsed and not self._held_removals:
+                await self._has_pending.wait()
+                self._has_pending = trio.Event()
             await trio.sleep(EXPIRY_CHECK_INTERVAL_S)
+            self._apply_held_removals()
             removed = list(self._registry.remove_expired())
             if removed:
                 _LOG.info(
@@ -231,7 +282,7 @@
                 ),
             )
         self._registry.mark_lapsed(endpoint_id)
-        self._entry_lapsed.set()
+        self._has_pending.set()
 
     def _apply_table(self, table: routing.RouteTable) -> None:
         if self.table is not None and table.version <= self.table.version:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -98,6 +98,38 @@
         self._apply("op/evacuate/x", None)
         self.assertEqual(self.listener.zones, {"y"})
 
+    def _apply_at(self, generation: int, key: str, value: bytes | None) -> None:
+        revision = store.order_revision(generation, 5)
+        self.state.apply([mirror.MirrorItem(key, value, revision)])
+
+    def test_a_zone_stays_out_while_a_restored_store_lacks_its_order(
+        self,
+    ) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            nursery.start_soon(self.state.run_expiry_loop)
+            self._apply_at(1, "op/evacuate/x", b"{}")
+            self._apply_at(2, "op/evacuate/x", None)
+            await trio.sleep(2.0)
+            self.assertEqual(self.listener.zones, {"x"})
+            # The operator writes the order again.
+            self._apply_at(2, "op/evacuate/x", b"{}")
+            await trio.sleep(3.0)
+            self.assertEqual(self.listener.zones, {"x"})
+            self._apply_at(2, "op/evacuate/x", None)
+            self.assertEqual(self.listener.zones, set())
+
+        builders.run_on_virtual_clock(test)
+
+    def test_an_order_that_is_not_written_again_ends(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            nursery.start_soon(self.state.run_expiry_loop)
+            self._apply_at(1, "op/evacuate/x", b"{}")
+            self._apply_at(2, "op/evacuate/x", None)
+            await trio.sleep(3.0)
+            self.assertEqual(self.listener.zones, set())
+
+        builders.run_on_virtual_clock(test)
+
     def test_rollout_orders_and_records_reach_the_rollouts(self) -> None:
         self._apply(
             "op/rollout/s",
