Register again at once when a registration is lost

What the site would see: a node that registered since the copy is missing in a restored store for up to 8 s, until its next renewal. Its lease is gone, and its id may be given to another node.

Cause: only the renewal looked for the own key. Now its deletion does, with a new lease.

Before: the test finds one registration after half a second, where two are expected.

--- a/src/geraniumstair/gateway/_presence.py
+++ b/src/geraniumstair/gateway/_presence.py
@@ -154,6 +154,7 @@
         self._applied_state: object = None
         self._registered: dict[str, Member] = {}
         self._registrations_changed = trio.Event()
+        self._registration_lost = trio.Event()
         local_mirror.subscribe(self._on_items_changed)
 
     def _on_items_changed(self, items: Sequence[mirror.MirrorItem]) -> None:
@@ -176,6 +177,8 @@
         node_id = item.key.removeprefix(KEY_PREFIX)
         self._registered.pop(node_id, None)
         if item.value is None:
+            if node_id == self._node_id and self._lease_id:
+                self._registration_lost.set()
             return
         member = _decode_member(item.value)
         if member is None:
@@ -206,9 +209,14 @@
     async def _register_loop(self) -> None:
         while True:
             renewed = await self._renew_registration()
-            await trio.sleep(
+            with trio.move_on_after(
                 RENEW_INTERVAL_S if renewed else REGISTRATION_RETRY_S
-            )
+            ):
+                await self._registration_lost.wait()
+                # The store may have given the lease's id to another node since
+                # it was restored from a copy.
+                self._lease_id = 0
+            self._registration_lost = trio.Event()
 
     async def _renew_registration(self) -> bool:
         if self._lease_id:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -246,6 +246,32 @@
 class PresenceTest(unittest.TestCase):
     """Guards against running nodes that are lost together with their keys."""
 
+    def test_a_registration_that_a_restore_lost_is_written_at_once(
+        self,
+    ) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            local_mirror = mirror.Mirror()
+            leases = _Leases(local_mirror)
+            presence = gateway.Presence(
+                "n1",
+                gateway.Member(
+                    peers.PeerAddress("10.0.0.1", 3),
+                    forward.NodeInfo("z1", 0.5),
+                ),
+                leases,
+                local_mirror,
+                _Network(),
+                lambda members: None,
+            )
+            nursery.start_soon(presence.run)
+            await trio.sleep(1)
+            self.assertEqual(leases.commit_count, 1)
+            leases.write("geraniumstair/nodes/n1", None)
+            await trio.sleep(0.5)
+            self.assertEqual(leases.commit_count, 2)
+
+        builders.run_on_virtual_clock(test)
+
     def test_lost_keys_cause_a_new_registration_and_keep_connected_peers(
         self,
     ) -> None:
