Write records of rollouts again that a restored store has lost

What the site would see: a rollout without its status after a restore, and an order that is written again starts the rollout a second time.

Cause: a node takes what it knows as recorded for what the store holds, and an order with a newer revision for a new one. A judge now writes a record again that the store lacks, and an order that is only written again keeps its rollout.

--- a/src/geraniumstair/gateway/_rollouts.py
+++ b/src/geraniumstair/gateway/_rollouts.py
@@ -149,6 +149,9 @@
         self, order: RolloutOrder, share_pct: float, now_s: float
     ) -> None:
         self.order = order
+        # Stays the same if the order is written again after a restore of the
+        # store, because other nodes and earlier evidence refer to it.
+        self.key = order.key
         self.record: RolloutRecord | None = None
         self.share_pct = share_pct
         self.deadline_s = now_s + order.duration_s
@@ -184,7 +187,7 @@
         """Returns the new version's share; None if no version is limited."""
         if self.done_s is not None and now_s >= self.done_s + DONE_SHARE_HOLD_S:
             return None
-        key, share_pct = self.order.key, 0.0
+        key, share_pct = self.key, 0.0
         stopped = self.judge.decision.progress is canary.Progress.TAKEN_BACK
         if self.recorded_progress is canary.Progress.DONE:
             # A different key discards an earlier stop of this version.
@@ -263,6 +266,9 @@
         known = self._rollouts.get(order.service)
         if known is not None and known.order.revision >= order.revision:
             return
+        if known is not None and _is_same_order(known.order, order):
+            known.order = order
+            return
         _LOG.info(
             "gateway: a rollout was ordered",
             extra=observe.fields(
@@ -355,10 +361,17 @@
         return ranked[:JUDGE_COUNT]
 
     def _evaluate(self, rollout: _Rollout, nursery: trio.Nursery) -> None:
-        judges = self._select_judges(rollout.order.key)
-        if rollout.has_final_record or self._node_id not in judges:
+        judges = self._select_judges(rollout.key)
+        if self._node_id not in judges or (
+            rollout.has_final_record and self._is_stored(rollout)
+        ):
             return
         now_s = self._clock()
+        if rollout.has_final_record:
+            self._write_when_due(
+                rollout, rollout.recorded_progress, judges, now_s, nursery
+            )
+            return
         previous = rollout.judge.decision
         if now_s >= rollout.deadline_s:
             rollout.roll_back(REASON_NOT_RECORDED)
@@ -367,14 +380,38 @@
             self._handle_decision(rollout, decision, now_s)
         if decision.progress is canary.Progress.TAKEN_BACK:
             # Sent at each decision interval, because a message may be lost.
-            self._broadcast_stopped_version(rollout.order.key, decision.reason)
-        stagger_s = RECORD_STAGGER_S * judges.index(self._node_id)
-        may_write = (
-            now_s >= rollout.decided_s + stagger_s and not rollout.write_pending
+            self._broadcast_stopped_version(rollout.key, decision.reason)
+        if decision.progress is not rollout.recorded_progress or (
+            rollout.record is not None and not self._is_stored(rollout)
+        ):
+            self._write_when_due(
+                rollout, decision.progress, judges, now_s, nursery
+            )
+
+    def _is_stored(self, rollout: _Rollout) -> bool:
+        """Returns whether the store holds what this node knows as recorded.
+
+        It does not if it was restored from a copy made before the record.
+        """
+        stored = self._records.get(rollout.order.service)
+        return (
+            stored is not None
+            and stored.version == rollout.order.version
+            and stored.progress is rollout.recorded_progress
         )
-        if decision.progress is not rollout.recorded_progress and may_write:
+
+    def _write_when_due(
+        self,
+        rollout: _Rollout,
+        progress: canary.Progress,
+        judges: Sequence[str],
+        now_s: float,
+        nursery: trio.Nursery,
+    ) -> None:
+        stagger_s = RECORD_STAGGER_S * judges.index(self._node_id)
+        if now_s >= rollout.decided_s + stagger_s and not rollout.write_pending:
             rollout.write_pending = True
-            nursery.start_soon(self._write_record, rollout, decision.progress)
+            nursery.start_soon(self._write_record, rollout, progress)
 
     def _handle_decision(
         self, rollout: _Rollout, decision: canary.Decision, now_s: float
@@ -478,7 +515,7 @@
 
     def _roll_back(self, key: str, reason: str) -> None:
         for rollout in self._rollouts.values():
-            if rollout.order.key == key and rollout.roll_back(reason):
+            if rollout.key == key and rollout.roll_back(reason):
                 self._handle_decision(
                     rollout, rollout.judge.decision, self._clock()
                 )
@@ -503,7 +540,14 @@
                 "share_pct": share.share_pct
                 if (share := rollout.compute_share(now_s))
                 else None,
-                "judges": self._select_judges(rollout.order.key),
+                "judges": self._select_judges(rollout.key),
             }
             for service, rollout in sorted(self._rollouts.items())
         }
+
+
+def _is_same_order(known: RolloutOrder, order: RolloutOrder) -> bool:
+    """Returns whether an order was only written again after a restore."""
+    return store.is_restored_since(known.revision, order.revision) and (
+        dataclasses.replace(known, revision=order.revision) == order
+    )
--- a/tests/builders_gateway_rollouts.py
+++ b/tests/builders_gateway_rollouts.py
@@ -58,6 +58,15 @@
         trio.lowlevel.spawn_system_task(self._deliver_record, record)
         return result.Ok(store.CommitOutcome(True, self.revision))
 
+    def restore(self) -> None:
+        """Loses all records, as a restore from an earlier copy does."""
+        self.records.clear()
+        self.revision = store.order_revision(
+            store.split_revision(self.revision)[0] + 1, 50
+        )
+        for node in self.nodes:
+            node.remove_record(SERVICE)
+
     async def _deliver_record(self, record: gateway.RolloutRecord) -> None:
         await trio.sleep(0.1)
         for node in self.nodes:
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -130,6 +130,36 @@
 
         _run(test)
 
+    def test_a_record_that_a_restore_lost_is_written_again(self) -> None:
+        async def test(site: builders.RolloutSite) -> None:
+            await trio.sleep(5)
+            site.order_rollout()
+            await trio.sleep(12)
+            self.assertEqual(site.store.history, [GOING_ON, DONE])
+            site.store.restore()
+            await trio.sleep(4)
+            self.assertEqual(site.store.history, [GOING_ON, DONE, DONE])
+
+        _run(test)
+
+    def test_an_order_that_is_written_again_does_not_start_again(self) -> None:
+        async def test(site: builders.RolloutSite) -> None:
+            await trio.sleep(5)
+            site.order_rollout()
+            await trio.sleep(6)
+            site.store.restore()
+            site.order_rollout()
+            await trio.sleep(6)
+            self.assertEqual(site.store.history, [GOING_ON, GOING_ON, DONE])
+            sent = len(site.new_version_sent_s), site.request_count
+            await trio.sleep(2)
+            self.assertEqual(
+                len(site.new_version_sent_s) - sent[0],
+                site.request_count - sent[1],
+            )
+
+        _run(test)
+
     def test_failures_after_the_end_do_not_stop_a_version(self) -> None:
         async def test(site: builders.RolloutSite) -> None:
             await trio.sleep(5)
