Refuse deeply nested entries and addresses that are no IP address and port

What the site would see: one odd entry of another writer among those of the endpoints, and all nodes that read the list end again and again.

Cause: for a value of 100,000 brackets the parser raises RecursionError, which is none of its own errors, in the entries of endpoints, the configuration, rollouts and registrations of nodes. Ports were read by int(), which takes digits of other scripts, spaces and underscores, and any text was taken for the IP address. Class of fault: errors and values of a library that the adapter does not expect.

After: all entries are refused with a log line; 200 drawn entries raise nothing.

Conclusion: could happen here, mended.

--- a/src/geraniumstair/gateway/_presence.py
+++ b/src/geraniumstair/gateway/_presence.py
@@ -303,5 +303,5 @@
             float(fields.get("processor_cores", 1.0)),
         )
         return Member(address, info)
-    except (ValueError, TypeError, KeyError):
+    except (ValueError, TypeError, KeyError, RecursionError, OverflowError):
         return None
--- a/src/geraniumstair/platform/_decoder.py
+++ b/src/geraniumstair/platform/_decoder.py
@@ -1,6 +1,7 @@
 """Decodes and encodes entries of the platform's store."""
 
 import logging
+from typing import TypeVar
 
 import msgspec
 
@@ -13,6 +14,7 @@
 from geraniumstair.platform import _settings
 
 _LOG = logging.getLogger(__name__)
+_T = TypeVar("_T")
 _CONFIG_KEY = "op/config"
 _EVACUATION_PREFIX = "op/evacuate/"
 _SERVER_PREFIX = "servers/"
@@ -131,8 +133,8 @@
             )
             return None
         try:
-            config = msgspec.json.decode(item.value, type=_Config)
-        except msgspec.MsgspecError as error:
+            config = _decode_json(item.value, _Config)
+        except ValueError as error:
             _LOG.error("platform: the configuration is invalid: %s", error)
             return None
         return gateway.RoutesChanged(_build_route_table(config))
@@ -144,9 +146,9 @@
         if item.value is None:
             return gateway.EndpointEntryRemoved(endpoint_id)
         try:
-            server = msgspec.json.decode(item.value, type=_Server)
+            server = _decode_json(item.value, _Server)
             entry = _build_endpoint_entry(endpoint_id, server, item.revision)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except ValueError as error:
             # A warning suffices: other writers may use the same prefix.
             _LOG.warning(
                 "platform: the entry of endpoint %s is invalid: %s",
@@ -170,6 +172,20 @@
         )
 
 
+def _decode_json(value: bytes, value_type: type[_T]) -> _T:
+    """Decodes a value of the store.
+
+    Raises:
+        ValueError: The value is not valid.
+    """
+    try:
+        return msgspec.json.decode(value, type=value_type)
+    except msgspec.MsgspecError as error:
+        raise ValueError(str(error)) from error
+    except RecursionError as error:
+        raise ValueError("the value is nested too deeply") from error
+
+
 def _decode_rollout(
     item: mirror.MirrorItem,
 ) -> gateway.RolloutOrder | gateway.RolloutOrderRemoved | None:
@@ -177,8 +193,8 @@
     if item.value is None:
         return gateway.RolloutOrderRemoved(service)
     try:
-        order = msgspec.json.decode(item.value, type=_Rollout)
-    except msgspec.MsgspecError as error:
+        order = _decode_json(item.value, _Rollout)
+    except ValueError as error:
         _LOG.error("platform: the rollout of %s is invalid: %s", service, error)
         return None
     return gateway.RolloutOrder(
@@ -193,9 +209,9 @@
     if item.value is None:
         return gateway.RolloutRecordRemoved(service)
     try:
-        status = msgspec.json.decode(item.value, type=_RolloutStatus)
+        status = _decode_json(item.value, _RolloutStatus)
         progress = _ROLLOUT_STATES[status.state]
-    except (msgspec.MsgspecError, KeyError) as error:
+    except (ValueError, KeyError) as error:
         _LOG.error(
             "platform: the rollout status of %s is invalid: %s", service, error
         )
--- a/src/geraniumstair/platform/_settings.py
+++ b/src/geraniumstair/platform/_settings.py
@@ -1,6 +1,7 @@
 """Reads the settings file that the platform writes for a node."""
 
 import hashlib
+import ipaddress
 import pathlib
 from typing import Annotated
 
@@ -82,11 +83,15 @@
     """Parses an IP address and a port.
 
     Raises:
-        ValueError: There is no port, or it is not a number.
+        ValueError: The address or the port is missing or not valid.
     """
     address, separator, port = text.rpartition(":")
-    if not separator or not address:
+    if not separator:
         raise ValueError(f"{text!r} has no port")
+    ipaddress.ip_address(address)
+    # `int` also takes signs, spaces, underscores and digits of other scripts.
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError(f"{text!r} has no decimal port")
     number = int(port)
     if not 0 < number < 65536:
         raise ValueError(f"{text!r} has no valid port")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -300,6 +300,10 @@
                 b'"processor_cores":2.0}',
             )
             leases.write("geraniumstair/nodes/n3", b"junk")
+            leases.write("geraniumstair/nodes/n4", b"[" * 100_000)
+            leases.write(
+                "geraniumstair/nodes/n5", b'{"address":"x","port":1e999}'
+            )
             network.connected_node_ids = frozenset(["n2"])
             await trio.sleep(1)
             self.assertEqual(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,10 +1,13 @@
 """Tests of the adapters to the users' platform."""
 
 import json
+import logging
 import pathlib
 import tempfile
 import unittest
 
+import hypothesis
+from hypothesis import strategies
 import result
 import trio
 import trio.testing
@@ -85,6 +88,73 @@
                 with self.assertLogs("geraniumstair.platform"):
                     self.assertIsNone(_decode("op/config", value))
 
+    def test_a_deeply_nested_entry_is_invalid(self) -> None:
+        # The error of the parser is none of its own, and ended the process.
+        nested = b"[" * 100_000 + b"]" * 100_000
+        for key, expected in (
+            ("op/config", None),
+            ("op/rollout/s", None),
+            ("status/rollout/s", None),
+            ("servers/i-1", gateway.EndpointEntryRemoved("i-1")),
+        ):
+            for value in (nested, b'{"Other":' + nested + b"}"):
+                with self.subTest(key=key, bytes=len(value)):
+                    with self.assertLogs("geraniumstair.platform"):
+                        self.assertEqual(_decode(key, value), expected)
+
+    @hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+    @hypothesis.given(
+        strategies.sampled_from(
+            ["op/config", "op/rollout/s", "status/rollout/s", "servers/i-1"]
+        ),
+        strategies.dictionaries(
+            strategies.sampled_from(
+                ["Service", "Address", "Zone", "State", "Slots", "born", "Seq"]
+                + ["Version", "Routes", "Services", "TargetVersion"]
+                + ["DurationS", "WarmupLeftMs", "Limits"]
+            ),
+            strategies.recursive(
+                strategies.none()
+                | strategies.booleans()
+                | strategies.integers()
+                | strategies.floats()
+                | strategies.text(),
+                lambda inner: (
+                    strategies.lists(inner)
+                    | strategies.dictionaries(strategies.text(), inner)
+                ),
+                max_leaves=4,
+            ),
+        ),
+    )
+    def test_no_entry_of_another_writer_raises_an_error(
+        self, key: str, fields: dict[str, object]
+    ) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        _decode(key, json.dumps(fields).encode())
+
+    def test_an_address_that_names_no_port_or_host_is_invalid(self) -> None:
+        for address in (
+            "10.0.0.1:٨٠",
+            "10.0.0.1:8_0",
+            "10.0.0.1: 80",
+            "10.0.0.1:-80",
+            "10.0.0.1:65536",
+            "10.0.0.1:",
+            "10.0.0.1",
+            "10.0.0.1\0:80",
+            "10.0.0.٣:80",
+            "host.example:80",
+            ":80",
+        ):
+            with self.subTest(address=address):
+                with self.assertLogs("geraniumstair.platform"):
+                    change = _decode(
+                        "servers/i-1", builders.server_value(Address=address)
+                    )
+                self.assertEqual(change, gateway.EndpointEntryRemoved("i-1"))
+
     def test_a_registration_becomes_an_endpoint(self) -> None:
         change = _decode("servers/i-1", builders.server_value(State="draining"))
         assert isinstance(change, gateway.EndpointChanged)
