Obey endpoints that shut down or ask for a pause

What changes: a node that has got such an answer does not call the endpoint any more, or not before the time is over; queued calls go elsewhere. Both are kept if the entry lapses and returns. If all endpoints of a service ask for a pause, requests are refused at once with the rest of it, and a request that all of them rejected is not tried again in vain.

Weighed: telling the other nodes.

Measured: EndpointWishesTest fails before (the fields do not exist), passes after.

--- a/src/geraniumstair/forward/_call.py
+++ b/src/geraniumstair/forward/_call.py
@@ -56,6 +56,8 @@
         names_request: The answer states to which request it belongs.
         rate_limit_per_s: Requests a second that the endpoint accepts from all
             nodes together; None if it states no limit.
+        leaving: The endpoint states that it shuts down.
+        pause_s: How long the endpoint wants no requests from this node.
     """
 
     outcome: Outcome
@@ -66,6 +68,8 @@
     signature: bytes = b""
     names_request: bool = True
     rate_limit_per_s: float | None = None
+    leaving: bool = False
+    pause_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -50,6 +50,7 @@
 # store may have removed its registration while it serves. Equal to the duration
 # of the registration's lease.
 MEMBER_RETENTION_S = 30.0
+MAX_EARLIER_WISHES = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +69,8 @@
     remote_cost_ms: float
 
 
+_InstanceKey = tuple[str, int, str, int]
+
 # Called when an endpoint states another limit than before to this node, with
 # the nodes that have a full part of either limit.
 LimitListener = Callable[[_replica.Replica, Set[str]], None]
@@ -103,7 +106,9 @@
         self._metrics = metrics
         self._versions = versions
         self._rng = rng
-        self._replicas: dict[tuple[str, int, str, int], _replica.Replica] = {}
+        self._replicas: dict[_InstanceKey, _replica.Replica] = {}
+        # Of instances that are not registered at present.
+        self._earlier_wishes: dict[_InstanceKey, _replica.Wishes] = {}
         self._by_service: dict[str, list[_replica.Replica]] = {}
         # Also contains the endpoints that this node does not use.
         self._registered: dict[str, list[_replica.Replica]] = {}
@@ -256,7 +261,9 @@
             if replica.entry.service in services and instance_key not in entries
         ]
         for instance_key in removed:
-            self._replicas.pop(instance_key).close()
+            ended = self._replicas.pop(instance_key)
+            ended.close()
+            self._remember_wishes(instance_key, ended.wishes)
         if removed:
             self._drop_rate_limits()
         for instance_key, entry in entries.items():
@@ -281,10 +288,21 @@
             self._versions,
             self._schedule_sweep,
             self._on_limit_stated,
+            self._earlier_wishes.pop(entry.instance_key, None),
         )
         self._start_warmup(replica, entry)
         return replica
 
+    def _remember_wishes(
+        self, instance_key: _InstanceKey, wishes: _replica.Wishes
+    ) -> None:
+        # An entry that lapsed while the store was away returns.
+        if wishes == _replica.Wishes():
+            return
+        if len(self._earlier_wishes) >= MAX_EARLIER_WISHES:
+            del self._earlier_wishes[next(iter(self._earlier_wishes))]
+        self._earlier_wishes[instance_key] = wishes
+
     def _start_warmup(
         self, replica: _replica.Replica, entry: discovery.EndpointEntry
     ) -> None:
@@ -472,7 +490,7 @@
         """Returns the cost regardless of the limit that an endpoint states."""
         entry = replica.entry
         state = entry.state
-        if not _accepts_calls(replica):
+        if not _accepts_calls(replica) or replica.is_paused(now_s):
             return None
         if entry.availability_zone in self._zones_out:
             return None
@@ -655,11 +673,16 @@
         called within `PROBE_INTERVAL_S`.
         """
         now_s = trio.current_time()
-        replicas = self._by_service.get(service, ())
-        down = [r for r in replicas if r.is_down(now_s)]
+        replicas = [
+            r for r in self._by_service.get(service, ()) if _accepts_calls(r)
+        ]
+        awake = [r for r in replicas if not r.is_paused(now_s)]
+        if not awake:
+            return bool(replicas)
+        down = [r for r in awake if r.is_down(now_s)]
         if not down:
             return False
-        for replica in replicas:
+        for replica in awake:
             if (
                 replica not in down
                 and self._compute_unlimited_cost(replica, now_s) is not None
@@ -675,6 +698,7 @@
             self._compute_wait_s(r, now_s)
             for r in self._by_service.get(service, ())
             if r.entry.state is discovery.EndpointState.READY
+            and _accepts_calls(r)
         ]
         return min(waits) if waits else None
 
@@ -721,4 +745,4 @@
 
 def _accepts_calls(replica: _replica.Replica) -> bool:
     is_draining = replica.entry.state is discovery.EndpointState.DRAINING
-    return not is_draining and not replica.address_reused
+    return not (is_draining or replica.wishes.leaving or replica.address_reused)
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import heapq
 import itertools
 import logging
@@ -63,6 +64,19 @@
         """Starts a task."""
 
 
+@dataclasses.dataclass(slots=True)
+class Wishes:
+    """What an instance stated in its answers to this node.
+
+    Attributes:
+        leaving: It shuts down, whatever its registration still says.
+        paused_until_s: Until when it wants no requests from this node.
+    """
+
+    leaving: bool = False
+    paused_until_s: float = -math.inf
+
+
 class Replica:
     """Sends calls to one instance of an endpoint.
 
@@ -78,6 +92,7 @@
         schedule_sweep: Called when `sweep` will have work to do.
         on_limit_stated: Called with the earlier limit when an answer to this
             node states another one.
+        wishes: What the instance stated before; None if nothing is known.
 
     Attributes:
         entry: The newest registration of the instance.
@@ -88,6 +103,7 @@
         cold_until_s: When the endpoint's warm-up ends.
         address_reused: Another endpoint answered at the address. This instance
             has ended, whatever its registration still says.
+        wishes: What the instance stated in its answers.
         rate_limit_per_s: Requests a second that the endpoint accepts from all
             nodes together, as its last answer states; None without a limit.
         limited_since_s: When this node first knew of a limit.
@@ -105,6 +121,7 @@
         versions: canary.VersionTracker,
         schedule_sweep: "Callable[[Replica], None]",
         on_limit_stated: "Callable[[Replica, float | None], None]",
+        wishes: Wishes | None = None,
     ) -> None:
         self.entry = entry
         self.max_links = max_links
@@ -131,6 +148,7 @@
         self._reconnecting = False
         self._closed = False
         self.address_reused = False
+        self.wishes = wishes or Wishes()
         self.rate_limit_per_s: float | None = None
         self.limited_since_s = 0.0
         self.limit_observed_s = -math.inf
@@ -180,6 +198,10 @@
         """Returns how much longer the endpoint is avoided."""
         return max(0.0, self._avoid_until_s - now_s)
 
+    def is_paused(self, now_s: float) -> bool:
+        """Returns whether the endpoint wants no requests from this node."""
+        return now_s < self.wishes.paused_until_s
+
     def is_down(self, now_s: float) -> bool:
         """Returns whether the next call would fail as the last ones did."""
         return (
@@ -193,9 +215,11 @@
 
     def retry_in_s(self, now_s: float) -> float:
         """Returns the time until a call may succeed that would fail now."""
+        pause_s = max(0.0, self.wishes.paused_until_s - now_s)
         if self.is_down(now_s):
-            return max(0.0, PROBE_INTERVAL_S - self.since_last_call_s(now_s))
-        return self.avoided_for_s(now_s)
+            probe_s = PROBE_INTERVAL_S - self.since_last_call_s(now_s)
+            return max(pause_s, probe_s)
+        return max(pause_s, self.avoided_for_s(now_s))
 
     # ---- calls ----
 
@@ -394,9 +418,37 @@
         self._running.pop(call, None)
         self._metrics.calls.labels(reply.outcome.value).inc()
         self._record_rate_limit(reply)
+        self._record_wishes(reply)
         self._record_outcome(call, reply)
         call.finish(reply)
 
+    def _record_wishes(self, reply: _call.Reply) -> None:
+        """Stops using an endpoint that shuts down or asks for a pause."""
+        if reply.leaving and not self.wishes.leaving:
+            self.wishes.leaving = True
+            self._log_wish("an endpoint states that it shuts down")
+            self._reject_waiting("the endpoint shuts down")
+        now_s = trio.current_time()
+        if reply.pause_s <= 0:
+            return
+        if not self.is_paused(now_s):
+            self._log_wish("an endpoint wants no requests for some time", reply)
+        until_s = now_s + reply.pause_s
+        self.wishes.paused_until_s = max(self.wishes.paused_until_s, until_s)
+        self._reject_waiting("the endpoint wants no requests at present")
+
+    def _log_wish(self, message: str, reply: _call.Reply | None = None) -> None:
+        _LOG.info(
+            "forward: %s",
+            message,
+            extra=observe.fields(
+                endpoint=self.entry.endpoint_id,
+                service=self.entry.service,
+                state=self.entry.state.value,
+                pause_s=reply.pause_s if reply is not None else None,
+            ),
+        )
+
     def _record_rate_limit(self, reply: _call.Reply) -> None:
         limit_per_s = reply.rate_limit_per_s
         # A failure or a refusal without a limit does not end it.
@@ -508,6 +560,8 @@
             "latency_ms": round(self.latency_ms, 1),
             "failure_share": round(self.failure_share, 3),
             "avoided_for_s": round(self.avoided_for_s(now_s), 2),
+            "paused": self.is_paused(now_s),
+            "leaving": self.wishes.leaving,
             "stalled": self.is_stalled(now_s),
             "rate_limit_per_s": self.rate_limit_per_s,
         }
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -382,7 +382,8 @@
         if not self._try_call(shard, _call.Cause.RETRY):
             # Every endpoint was tried. If none ran the request, all of them may
             # be called again a little later.
-            if shard.runs == 0:
+            pool = self._context.pool
+            if shard.runs == 0 and not pool.is_known_down(shard.service):
                 shard.tried.clear()
                 self._schedule_retry(shard, now_s)
             else:
--- a/src/geraniumstair/forward/_single.py
+++ b/src/geraniumstair/forward/_single.py
@@ -183,8 +183,8 @@
             self._schedule_retry()
 
     def _schedule_retry(self) -> None:
-        """Retries all endpoints later; fails if one may have run it."""
-        if self._runs:
+        """Retries all endpoints later; fails if that is known to be in vain."""
+        if self._runs or self._context.pool.is_known_down(self._service):
             self._fail()
             return
         self._tried.clear()
--- a/src/geraniumstair/platform/_http.py
+++ b/src/geraniumstair/platform/_http.py
@@ -22,6 +22,8 @@
 _NOT_RUN = b"x-not-executed"
 # Requests a second that the sending endpoint takes from all nodes together.
 _RATE_LIMIT = b"server-limit"
+# Set to 1 by an endpoint that shuts down.
+_LEAVING = b"server-leaving"
 _PART_SIGNATURES = b"x-part-stamps"
 _MISSING_PARTS = b"x-parts-missing"
 
@@ -206,19 +208,38 @@
         reply = _classify_own(response)
         if _REQUEST_ID not in headers:
             reply = dataclasses.replace(reply, names_request=False)
-        if _RATE_LIMIT in headers and reply.outcome is not _MISDIRECTED:
+        if reply.outcome is _MISDIRECTED:
+            # The other headers are about another endpoint.
+            return reply
+        if _RATE_LIMIT in headers:
             reply = dataclasses.replace(
                 reply,
                 rate_limit_per_s=self._parse_rate_limit(headers[_RATE_LIMIT]),
             )
+        if headers.get(_LEAVING) == b"1":
+            reply = dataclasses.replace(reply, leaving=True)
+        if response.status == _UNAVAILABLE_STATUS:
+            pause_s = self._parse_retry_after(headers.get(b"retry-after"))
+            reply = dataclasses.replace(reply, pause_s=pause_s)
         return reply
 
+    def _parse_retry_after(self, value: bytes | None) -> float:
+        """Returns the seconds of the header; 0 without valid ones."""
+        if value is None:
+            return 0.0
+        pause_s = _parse_decimal(value)
+        if pause_s is None:
+            _LOG.info(
+                "platform: ignored a Retry-After that is no number of seconds: "
+                "%r",
+                value[:_MAX_LOGGED_BYTES],
+            )
+            return 0.0
+        return pause_s
+
     def _parse_rate_limit(self, value: bytes) -> float | None:
-        try:
-            limit_per_s = float(value)
-        except ValueError:
-            limit_per_s = math.nan
-        if math.isfinite(limit_per_s) and limit_per_s >= 0:
+        limit_per_s = _parse_decimal(value)
+        if limit_per_s is not None:
             return limit_per_s
         if value != self._last_invalid_limit:
             self._last_invalid_limit = value
@@ -239,6 +260,15 @@
         return None
 
 
+def _parse_decimal(value: bytes) -> float | None:
+    """Returns a finite number that is not negative; None for other values."""
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
+
+
 def _classify_own(response: endpoint_http.Response) -> forward.Reply:
     status = response.status
     if status == _MISDIRECTED_STATUS:
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -436,6 +436,106 @@
         self.assertEqual(len(sent), 1)
 
 
+class EndpointWishesTest(unittest.TestCase):
+    """Guards against requests that an endpoint asked this node not to send."""
+
+    def _run(self, reply: forward.Reply, test) -> None:
+        async def start(nursery: trio.Nursery) -> None:
+            fixture = builders.ForwarderFixture(
+                nursery,
+                [builders.endpoint_entry("x"), builders.endpoint_entry("y")],
+                [builders.route(max_attempts=1)],
+            )
+            fixture.site.behaviour("x").reply = reply
+            fixture.site.behaviour("y").delay_s = 0.05
+            while "x" not in fixture.site.sent_to():
+                await self._ask(fixture)
+            await trio.sleep(0.4)
+            fixture.site.sent.clear()
+            await test(fixture)
+
+        builders.run_on_virtual_clock(start)
+
+    async def _ask(
+        self, fixture: builders.ForwarderFixture
+    ) -> forward.ForwardResult:
+        return await fixture.forwarder.forward(
+            builders.caller_request(), builders.route(max_attempts=1)
+        )
+
+    def test_an_endpoint_that_shuts_down_gets_no_more_requests(self) -> None:
+        leaving = forward.Reply(
+            forward.Outcome.ANSWERED, "", 200, [], b"", b"s", leaving=True
+        )
+
+        async def test(fixture: builders.ForwarderFixture) -> None:
+            for _ in range(10):
+                await self._ask(fixture)
+                await trio.sleep(1)
+            self.assertEqual(set(fixture.site.sent_to()), {"y"})
+            # Its registration lapses and returns.
+            await fixture.remove("x")
+            await trio.sleep(5)
+            fixture.registry.put(builders.endpoint_entry("x"))
+            fixture.pool.apply_registry_changes()
+            for _ in range(10):
+                await self._ask(fixture)
+            self.assertEqual(set(fixture.site.sent_to()), {"y"})
+            # Its next start is another instance.
+            fixture.registry.put(builders.endpoint_entry("x", started_ms=2))
+            fixture.pool.apply_registry_changes()
+            for _ in range(10):
+                await self._ask(fixture)
+            self.assertIn("x", fixture.site.sent_to())
+
+        self._run(leaving, test)
+
+    def test_an_endpoint_that_asks_for_a_pause_gets_no_requests(self) -> None:
+        rejected = forward.Reply(
+            forward.Outcome.REJECTED, "full", 503, pause_s=5.0
+        )
+
+        async def test(fixture: builders.ForwarderFixture) -> None:
+            fixture.site.behaviours["x"] = builders.Behaviour()
+            for _ in range(4):
+                await self._ask(fixture)
+                await trio.sleep(1)
+            self.assertEqual(set(fixture.site.sent_to()), {"y"})
+            await trio.sleep(2)
+            fixture.site.behaviour("y").delay_s = 0.3
+            for _ in range(10):
+                await self._ask(fixture)
+            self.assertIn("x", fixture.site.sent_to())
+
+        self._run(rejected, test)
+
+    def test_requests_are_refused_at_once_if_all_endpoints_pause(self) -> None:
+        rejected = forward.Reply(
+            forward.Outcome.REJECTED, "full", 503, pause_s=1.5
+        )
+
+        async def test(nursery: trio.Nursery) -> None:
+            fixture = builders.ForwarderFixture(
+                nursery,
+                [builders.endpoint_entry("x"), builders.endpoint_entry("y")],
+                [builders.route()],
+            )
+            for name in "xy":
+                fixture.site.behaviour(name).reply = rejected
+            await self._ask(fixture)
+            await trio.sleep(0.5)
+            sent = len(fixture.site.sent)
+            started_s = trio.current_time()
+            outcome = await self._ask(fixture)
+            assert isinstance(outcome, forward.Refused)
+            self.assertEqual(trio.current_time(), started_s)
+            self.assertTrue(outcome.not_run)
+            self.assertAlmostEqual(outcome.retry_after_s, 1.0, delta=0.1)
+            self.assertEqual(len(fixture.site.sent), sent)
+
+        builders.run_on_virtual_clock(test)
+
+
 class EndpointPoolTest(unittest.TestCase):
     """Guards against calls to endpoints that must not get any."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -263,9 +263,42 @@
         with self.assertNoLogs(_http.__name__):
             classify("-1")
 
-    def test_another_endpoint_at_the_address_states_no_limit(self) -> None:
-        misdirected = builders.response(421, server_limit="3")
-        self.assertIsNone(self._classify(misdirected).rate_limit_per_s)
+    def test_another_endpoint_at_the_address_states_nothing(self) -> None:
+        misdirected = builders.response(
+            421, server_limit="3", server_leaving="1", retry_after="9"
+        )
+        reply = self._classify(misdirected)
+        self.assertIsNone(reply.rate_limit_per_s)
+        self.assertFalse(reply.leaving)
+        self.assertEqual(reply.pause_s, 0.0)
+
+    def test_an_endpoint_that_shuts_down_says_so_in_any_answer(self) -> None:
+        for status in (200, 404, 500, 503):
+            answer = builders.response(
+                status, x_response_stamp="s", server_leaving="1"
+            )
+            self.assertTrue(self._classify(answer).leaving)
+        answer = builders.response(x_response_stamp="s", server_leaving="0")
+        self.assertFalse(self._classify(answer).leaving)
+
+    def test_only_a_rejection_with_seconds_asks_for_a_pause(self) -> None:
+        for status, value, pause_s in (
+            (503, "2", 2.0),
+            (503, "0.25", 0.25),
+            (503, "-1", 0.0),
+            (503, "soon", 0.0),
+            (503, "nan", 0.0),
+            (200, "2", 0.0),
+            (429, "2", 0.0),
+        ):
+            answer = builders.response(
+                status,
+                x_response_stamp="s",
+                x_not_executed="1",
+                retry_after=value,
+            )
+            with self.subTest(status=status, value=value):
+                self.assertEqual(self._classify(answer).pause_s, pause_s)
 
     def test_the_idle_limit_is_parsed(self) -> None:
         dialect = _http.PlatformDialect()
