Do not repeat requests that end the endpoints that run them

Cause: a lost connection counts as a lost answer and is repeated within attempts and budget; callers return through other nodes, which do the same. Class of fault: a repeat that spreads the fault which it should hide.

What changes: a node connects again before it repeats a lost call; a search without any part waits for one before it repeats; after two ended endpoints no node sends the request; later searches of the route are tried on one endpoint first, for 10 s after the last end. A search without any part sends single hedged calls only, because silent endpoints look the same.

Conclusion: fixed; the first such search still ends endpoints.

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -5,7 +5,7 @@
 from typing import Annotated, Any, Literal, TypeAlias
 
 from geraniumstair._struct import Message
-from msgspec import UNSET, Meta, UnsetType
+from msgspec import UNSET, Meta, UnsetType, field
 
 MessagesBetweenNodes: TypeAlias = Annotated[
     Any,
@@ -777,6 +777,32 @@
     """
     For each shard of the request, the endpoints that may have run it.
     """
+    ended: (
+        Annotated[
+            list[str],
+            Meta(description="Endpoints that ended while they ran the request."),
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
+    """
+    Endpoints that ended while they ran the request.
+    """
+
+
+class EndReport(Message):
+    """
+    An endpoint ended while it ran a request.
+    """
+
+    request_key: Annotated[bytes, Meta(description="Hash of the request's content.")]
+    """
+    Hash of the request's content.
+    """
+    route: str
+    endpoint: Annotated[str, Meta(description="Id of the endpoint and its start.")]
+    """
+    Id of the endpoint and its start.
+    """
 
 
 class LimitReport(Message):
--- a/src/geraniumstair/forward/__init__.py
+++ b/src/geraniumstair/forward/__init__.py
@@ -37,6 +37,7 @@
 from geraniumstair.forward._result import Refused
 from geraniumstair.forward._result import SearchResult
 from geraniumstair.forward._result import SingleResult
+from geraniumstair.forward._suspects import SuspectRequests
 from geraniumstair.forward._timing import Margins
 
 __all__ = [
@@ -68,6 +69,7 @@
     "SearchResult",
     "SingleResult",
     "StatedLimits",
+    "SuspectRequests",
     "TcpLinkFactory",
     "TokenBucket",
     "merge_greatest_records",
--- a/src/geraniumstair/forward/_call.py
+++ b/src/geraniumstair/forward/_call.py
@@ -56,6 +56,9 @@
         names_request: The answer states to which request it belongs.
         rate_limit_per_s: Requests a second that the endpoint accepts from all
             nodes together; None if it states no limit.
+        connection_lost: The endpoint closed the connection before its answer
+            was complete.
+        endpoint_ended: The endpoint does not accept connections either.
         leaving: The endpoint states that it shuts down.
         pause_s: How long the endpoint wants no requests from this node.
     """
@@ -68,6 +71,8 @@
     signature: bytes = b""
     names_request: bool = True
     rate_limit_per_s: float | None = None
+    connection_lost: bool = False
+    endpoint_ended: bool = False
     leaving: bool = False
     pause_s: float = 0.0
 
@@ -150,6 +155,7 @@
         route: Name of the caller's route.
         cause: Why the call is made.
         endpoint_id: Endpoint that the call was submitted to; empty before.
+        instance_name: Id and start of that endpoint.
         submitted_s: When the call was submitted to an endpoint.
         sent: Some bytes of the request were sent, or may have been.
         sent_s: When the first byte was sent.
@@ -168,6 +174,7 @@
     route: str = ""
     cause: Cause = Cause.FIRST
     endpoint_id: str = ""
+    instance_name: str = ""
     submitted_s: float = 0.0
     sent: bool = False
     sent_s: float = 0.0
--- a/src/geraniumstair/forward/_context.py
+++ b/src/geraniumstair/forward/_context.py
@@ -7,6 +7,7 @@
 from geraniumstair.forward import _endpoints
 from geraniumstair.forward import _grants
 from geraniumstair.forward import _metrics
+from geraniumstair.forward import _suspects
 from geraniumstair.forward import _timing
 
 # Delay after which a refused caller should retry if no estimate is known.
@@ -30,6 +31,7 @@
     hedge_delays: _timing.HedgeDelays
     margins: _timing.Margins
     wait_estimator: _timing.CallerWaitEstimator
+    suspects: _suspects.SuspectRequests
     grants: _grants.LimitGrants | None = None
 
     def retry_after_s(self, service: str) -> float:
--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -113,6 +113,8 @@
             a message that stops repeats.
         tried: Endpoints that may have run the request, by shard. A shard is
             absent if the node did not report its endpoints.
+        ended: Endpoints that ended while they ran the request, with their
+            starts.
     """
 
     signatures: Mapping[str, bytes]
@@ -123,6 +125,7 @@
     tried: Mapping[str, frozenset[str]] = dataclasses.field(
         default_factory=dict
     )
+    ended: frozenset[str] = frozenset()
 
 
 class PendingGroup:
@@ -456,8 +459,11 @@
         shard: frozenset(endpoints)
         for shard, endpoints in zip(group.shards, reply.tried, strict=False)
     }
+    ended = frozenset(reply.ended or ())
     if reply.declined:
-        return GroupReply({}, b"", reply.declined, reply.ran, tried=tried)
+        return GroupReply(
+            {}, b"", reply.declined, reply.ran, tried=tried, ended=ended
+        )
     valid = range(len(group.shards))
     signatures = {
         group.shards[position]: signature
@@ -466,4 +472,4 @@
         )
         if position in valid
     }
-    return GroupReply(signatures, reply.records, tried=tried)
+    return GroupReply(signatures, reply.records, tried=tried, ended=ended)
--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -1,6 +1,8 @@
 """Runs a caller's request on endpoints and returns the result."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
+from typing import Any
 
 import trio
 
@@ -18,6 +20,7 @@
 from geraniumstair.forward import _search
 from geraniumstair.forward import _shard
 from geraniumstair.forward import _single
+from geraniumstair.forward import _suspects
 from geraniumstair.forward import _timing
 
 SWEEP_INTERVAL_S = 0.05
@@ -40,6 +43,8 @@
             margins for one core.
         grants: Asks other nodes for requests of their parts of limits; None
             uses this node's parts only.
+        suspects: Requests under which endpoints ended; None remembers those of
+            this node only.
     """
 
     def __init__(
@@ -51,6 +56,7 @@
         delegation: _delegation.Delegation | None = None,
         margins: _timing.Margins | None = None,
         grants: _grants.LimitGrants | None = None,
+        suspects: _suspects.SuspectRequests | None = None,
     ) -> None:
         self._delegation = delegation
         self._context = _context.Context(
@@ -61,6 +67,7 @@
             _timing.HedgeDelays(),
             margins or _timing.Margins.for_cores(1.0),
             _timing.CallerWaitEstimator(),
+            suspects or _suspects.SuspectRequests(trio.current_time),
             grants,
         )
         self._splits: dict[
@@ -97,6 +104,10 @@
         If the task is cancelled because the caller disconnected, its calls are
         abandoned.
         """
+        if self._context.suspects.is_blocked(request):
+            return self._report(
+                request, route, _build_suspect_refusal(), _NO_HANDLER
+            )
         if not route.is_search:
             service = self._get_split(route).next_service()
             single = _single.Single(self._context, request, route, service)
@@ -122,7 +133,7 @@
         request: _call.CallerRequest,
         route: routing.Route,
         result: _result.ForwardResult,
-        handler: _search.Search | _single.Single,
+        handler: _report.RequestHandler,
     ) -> _result.ForwardResult:
         _report.report_request(
             self._context.metrics, request, route, result, handler
@@ -165,7 +176,9 @@
             The result, and the outcome of each shard, in order. The answered
             ones are in the order of the signatures.
         """
-        search = _search.Search(self._context, request, route, shards, 1)
+        search = _search.Search(
+            self._context, request, route, shards, 1, for_node=True
+        )
         return await search.run(), search.list_shard_outcomes()
 
     def _get_split(self, route: routing.Route) -> routing.ServiceSplit:
@@ -178,6 +191,28 @@
         return split
 
 
+class _Unhandled:
+    """A request that was refused before any decision on its calls."""
+
+    repeats = 0
+
+    def describe(self) -> Mapping[str, Any]:
+        """Returns nothing, because nothing was tried."""
+        return {}
+
+
+_NO_HANDLER = _Unhandled()
+
+
+def _build_suspect_refusal() -> _result.Refused:
+    return _result.Refused(
+        _result.RefusalReason.SUSPECT,
+        True,
+        _suspects.RETENTION_S,
+        "several endpoints ended while they ran this request",
+    )
+
+
 def _build_overload_refusal(retry_after_s: float) -> _result.Refused:
     return _result.Refused(
         _result.RefusalReason.OVERLOADED,
--- a/src/geraniumstair/forward/_link.py
+++ b/src/geraniumstair/forward/_link.py
@@ -104,6 +104,7 @@
         self._unsent = b""
         self._has_unsent = trio.Event()
         self._close_reason = ""
+        self._closed_by_peer = False
 
     @property
     def usable(self) -> bool:
@@ -194,6 +195,7 @@
                 continue
             except (OSError, trio.ClosedResourceError) as error:
                 self._close_reason = f"connection lost: {error}"
+                self._closed_by_peer = isinstance(error, OSError)
                 return
             if not data:
                 self._handle_eof(owner)
@@ -203,6 +205,7 @@
     def _handle_eof(self, owner: LinkOwner) -> None:
         response = self._parser.finish()
         self._close_reason = "the endpoint closed the connection"
+        self._closed_by_peer = True
         if response is not None:
             self.close()
             self._deliver_response(owner, response)
@@ -265,4 +268,11 @@
         call, self.call = self.call, None
         if call is not None:
             detail = self._close_reason or "the connection was closed"
-            owner.on_call_ended(call, _call.Reply(_call.Outcome.LOST, detail))
+            owner.on_call_ended(
+                call,
+                _call.Reply(
+                    _call.Outcome.LOST,
+                    detail,
+                    connection_lost=self._closed_by_peer,
+                ),
+            )
--- a/src/geraniumstair/forward/_parts_server.py
+++ b/src/geraniumstair/forward/_parts_server.py
@@ -115,7 +115,11 @@
 
 
 def _decline(
-    reason: str, *, ran: bool, tried: list[list[str]] | None = None
+    reason: str,
+    *,
+    ran: bool,
+    tried: list[list[str]] | None = None,
+    ended: list[str] | None = None,
 ) -> messages.PartsReply:
     return messages.PartsReply(
         declined=reason,
@@ -124,6 +128,7 @@
         signatures=[],
         records=b"",
         tried=tried or [],
+        ended=ended or [],
     )
 
 
@@ -136,6 +141,7 @@
         [] if shard.answered else sorted(shard.tried)
         for shard in shard_outcomes
     ]
+    ended = sorted({e for shard in shard_outcomes for e in shard.ended})
     if isinstance(outcome, _result.SearchResult):
         return messages.PartsReply(
             declined="",
@@ -146,10 +152,11 @@
             signatures=list(outcome.signatures),
             records=outcome.records,
             tried=tried,
+            ended=ended,
         )
     if isinstance(outcome, _result.Refused):
         ran = not outcome.not_run
-        return _decline(outcome.detail, ran=ran, tried=tried)
+        return _decline(outcome.detail, ran=ran, tried=tried, ended=ended)
     return _decline("the route is not a search", ran=True)
 
 
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -51,6 +51,9 @@
 # call that has already lasted this long when it is abandoned is aborted at
 # once, because it would keep a slot from calls that somebody waits for.
 ABANDONED_LIMIT_S = 0.35
+# Limit of the check whether an endpoint that closed connections still accepts
+# new ones. One that has ended refuses them at once.
+END_CHECK_TIMEOUT_S = 0.02
 # Least time between two log lines about the value of an endpoint's limit.
 LIMIT_LOG_INTERVAL_S = 1.0
 
@@ -147,6 +150,9 @@
         self._last_call_s = 0.0
         self._reconnecting = False
         self._closed = False
+        # Calls whose connections the endpoint closed, until it is known
+        # whether it has ended.
+        self._lost_calls: list[tuple[_call.Call, _call.Reply]] = []
         self.address_reused = False
         self.wishes = wishes or Wishes()
         self.rate_limit_per_s: float | None = None
@@ -226,6 +232,7 @@
     def submit(self, call: _call.Call) -> None:
         """Sends a call, now or as soon as a connection is free."""
         call.endpoint_id = self.entry.endpoint_id
+        call.instance_name = f"{call.endpoint_id}@{self.entry.started_ms}"
         call.submitted_s = self._last_call_s = trio.current_time()
         heapq.heappush(
             self._waiting, (call.priority, next(self._submit_order), call)
@@ -330,11 +337,11 @@
 
     def _open_link(self) -> None:
         self._opening_count += 1
-        self._spawner.start_soon(self._run_link)
+        self._spawner.start_soon(self._run_link, self._serve_link)
 
-    async def _run_link(self) -> None:
+    async def _run_link(self, serve: Callable[[], Awaitable[None]]) -> None:
         try:
-            await self._serve_link()
+            await serve()
         except Exception:
             # An error on one connection must not end the whole process.
             _LOG.exception(
@@ -359,6 +366,9 @@
             self._reconnecting = False
             self._consecutive_failures = 0
             self._avoid_until_s = 0.0
+        await self._run_open_link(link)
+
+    async def _run_open_link(self, link: _link.Link) -> None:
         self._metrics.connections.labels("open").inc()
         self._links.add(link)
         self.on_link_free(link)
@@ -416,6 +426,43 @@
     def on_call_ended(self, call: _call.Call, reply: _call.Reply) -> None:
         """Records the outcome of a call, and delivers its reply."""
         self._running.pop(call, None)
+        if reply.connection_lost and not call.done:
+            self._lost_calls.append((call, reply))
+            if len(self._lost_calls) == 1:
+                self._spawner.start_soon(self._run_link, self._check_end)
+            return
+        self._deliver(call, reply)
+
+    async def _check_end(self) -> None:
+        """Finds out whether the endpoint has ended or only closed connections.
+
+        The calls that it lost wait for this: a request that ends each endpoint
+        must not be repeated, but one whose answer was lost may be.
+        """
+        link: _link.Link | None = None
+        ended = False
+        try:
+            with trio.move_on_after(END_CHECK_TIMEOUT_S):
+                link = await self._factory.connect(self.entry)
+        except ConnectionRefusedError:
+            ended = True
+        except OSError as error:
+            _LOG.info(
+                "forward: cannot connect again to endpoint %s of %s: %s",
+                self.entry.endpoint_id,
+                self.entry.service,
+                error,
+            )
+        finally:
+            lost_calls, self._lost_calls = self._lost_calls, []
+            for call, reply in lost_calls:
+                self._deliver(
+                    call, dataclasses.replace(reply, endpoint_ended=ended)
+                )
+        if link is not None:
+            await self._run_open_link(link)
+
+    def _deliver(self, call: _call.Call, reply: _call.Reply) -> None:
         self._metrics.calls.labels(reply.outcome.value).inc()
         self._record_rate_limit(reply)
         self._record_wishes(reply)
--- a/src/geraniumstair/forward/_result.py
+++ b/src/geraniumstair/forward/_result.py
@@ -16,6 +16,7 @@
     TIMEOUT = "timeout"
     ENDPOINT_FAILED = "endpoint_failed"
     OVERLOADED = "overloaded"
+    SUSPECT = "suspect"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 import functools
 import math
+import random
 from typing import Any
 
 import trio
@@ -17,6 +19,7 @@
 from geraniumstair.forward import _replica
 from geraniumstair.forward import _result
 from geraniumstair.forward import _shard
+from geraniumstair.forward import _suspects
 from geraniumstair.forward import _timing
 
 # Delay before another call to a shard whose endpoints rejected the call or
@@ -36,6 +39,12 @@
 # Interval of the checks of nodes that were asked for groups. The answer to a
 # ping takes a few ms; a node of half a core may not run at all for 50 ms.
 GROUP_CHECK_INTERVAL_S = 0.1
+# Shards on which a request is tried that may end endpoints. The second one is
+# called if the first one takes long.
+MAX_TRIAL_SHARDS = 2
+# With fewer calls, slow endpoints alone may leave all of them without an answer
+# until the delay of hedged calls.
+MIN_SUSPICIOUS_CALLS = 4
 # Missing shards that are listed in one log line.
 MAX_LOGGED_SHARDS = 6
 
@@ -57,6 +66,8 @@
         min_parts: Number of parts that an answer needs.
         delegation: Lets nodes near the endpoints call some shards; None calls
             all shards from this node.
+        for_node: Another node called these shards' search, and knows its other
+            parts.
     """
 
     def __init__(
@@ -67,8 +78,11 @@
         shards: Sequence[str],
         min_parts: int,
         delegation: _delegation.Delegation | None = None,
+        *,
+        for_node: bool = False,
     ) -> None:
         self._context = context
+        self._for_node = for_node
         self._request = request
         self._route = route
         self._prepared = context.dialect.prepare(request)
@@ -91,6 +105,15 @@
         self._failed_count = 0
         self._parts_at_goal: int | None = None
         self._hedge_at_s = math.inf
+        # Shards that are called first, to see whether the request ends
+        # endpoints; the others wait.
+        self._trial_shards: set[str] = set()
+        # True while the first calls are made.
+        self._starting = False
+        # When the next hedged call may be sent while no part has arrived.
+        self._next_single_hedge_s = -math.inf
+        # Endpoints that ended while they ran the request, with their starts.
+        self._ended: set[str] = set()
         self._wake = trio.Event()
 
     async def run(self) -> _result.ForwardResult:
@@ -113,6 +136,7 @@
             self._result = self._build_result()
             return self._result
         finally:
+            self._report_suspect()
             self._abandon_all()
 
     def judge(self) -> _admission.Evidence:
@@ -163,22 +187,59 @@
 
     def _start(self) -> None:
         now_s = trio.current_time()
+        suspects = self._context.suspects
+        if not self._for_node and suspects.needs_trial(self._route.name):
+            self._start_trial(now_s)
+        else:
+            self._start_all(now_s)
+
+    def _start_all(self, now_s: float) -> None:
+        """Calls all shards that have not been called yet."""
+        self._starting = True
         self._schedule_hedge(now_s)
-        budget = self._context.budget
         if self._delegation is not None:
             self._start_groups(self._delegation, now_s)
         for shard in self._shards.values():
-            if shard.delegated:
-                continue
-            budget.record_request(shard.service)
-            self._start_first_call(shard, now_s)
+            if not shard.delegated and shard.service not in self._trial_shards:
+                self._start_shard(shard, now_s)
+        self._trial_shards.clear()
+        self._starting = False
+
+    def _start_shard(self, shard: _shard.Shard, now_s: float) -> None:
+        self._context.budget.record_request(shard.service)
+        self._start_first_call(shard, now_s)
+
+    def _start_trial(self, now_s: float) -> None:
+        """Calls one more shard; the others follow when one has answered.
+
+        Shards that this node calls itself come first.
+        """
+        self._hedge_at_s = math.inf
+        self._schedule_hedge(now_s)
+        planned = {s for group in self._planned_groups for s in group.shards}
+        candidates = [
+            shard
+            for shard in self._shards.values()
+            if shard.service not in self._trial_shards
+        ]
+        random.shuffle(candidates)
+        candidates.sort(key=lambda shard: shard.service in planned)
+        for shard in candidates:
+            self._trial_shards.add(shard.service)
+            self._start_shard(shard, now_s)
+            if shard.pending:
+                return
 
     # ---- delegated shards ----
 
     def _start_groups(
         self, delegation: _delegation.Delegation, now_s: float
     ) -> None:
-        for group in self._planned_groups:
+        for planned in self._planned_groups:
+            names = [s for s in planned.shards if s not in self._trial_shards]
+            if not names:
+                continue
+            group = dataclasses.replace(planned, shards=tuple(names))
             for name in group.shards:
                 self._shards[name].delegated = True
             pending = delegation.start(
@@ -199,6 +260,7 @@
         self, group: _delegation.ShardGroup, reply: _delegation.GroupReply
     ) -> None:
         self._groups = [p for p in self._groups if p.group is not group]
+        self._ended |= reply.ended
         # The merged records of the whole group are kept with its first part.
         records = reply.records
         for name, signature in reply.signatures.items():
@@ -213,6 +275,8 @@
         for shard in group_shards:
             if shard.pending:
                 self._take_over(shard, reply)
+        self._release_held(trio.current_time())
+        self._continue_without_calls(trio.current_time())
         if self._is_decided():
             self._wake.set()
 
@@ -229,9 +293,12 @@
         now_s = trio.current_time()
         if not reply.may_have_run:
             budget.record_request(shard.service)
-        elif not self._record_remote_runs_and_check_attempts(
-            shard, reply
-        ) or not budget.try_consume(shard.service):
+        elif not self._record_remote_runs_and_check_attempts(shard, reply):
+            self._fail_shard(shard)
+            return
+        elif reply.ended and not self._may_repeat_after_end(shard):
+            return
+        elif not budget.try_consume(shard.service):
             self._fail_shard(shard)
             return
         self._schedule_hedge(now_s)
@@ -342,6 +409,7 @@
             self._accept_part(shard, reply, (now_s - call.submitted_s) * 1000)
         else:
             self._handle_failure(shard, call, reply, now_s)
+        self._continue_without_calls(now_s)
         if self._is_decided():
             self._wake.set()
 
@@ -352,6 +420,9 @@
         self._answered_count += 1
         self._context.hedge_delays.add(self._route, took_ms)
         self._abandon_shard(shard)
+        if self._trial_shards:
+            self._start_all(trio.current_time())
+        self._release_held(trio.current_time())
 
     def _handle_failure(
         self,
@@ -365,8 +436,86 @@
             shard.ran_on.discard(call.endpoint_id)
             shard.runs -= 1
             shard.refusals += 1
+        if reply.endpoint_ended:
+            shard.ended.add(call.instance_name)
+            self._ended.add(call.instance_name)
         if shard.open_calls:
             return
+        if shard.ended and not self._may_repeat_after_end(shard):
+            return
+        self._repeat_failed(shard, reply, now_s)
+
+    # ---- requests that may end endpoints ----
+
+    def _may_repeat_after_end(self, shard: _shard.Shard) -> bool:
+        """Returns whether a shard may be called again after an endpoint ended.
+
+        If not, the shard has failed, or waits for a part that shows that the
+        request does not end each endpoint that runs it.
+        """
+        if len(self._ended) >= _suspects.MAX_ENDED:
+            shard.failure = "endpoints ended while they ran the request"
+            self._fail_shard(shard)
+            return False
+        shard.held = not self._answered_count
+        return not shard.held
+
+    def _release_held(self, now_s: float) -> None:
+        """Calls held shards again once a part has arrived."""
+        if not self._ended or not self._answered_count:
+            return
+        for shard in self._shards.values():
+            if shard.held and shard.pending:
+                shard.held = False
+                if self._may_repeat_after_end(shard):
+                    lost = _call.Reply(_call.Outcome.LOST, shard.failure)
+                    self._repeat_failed(shard, lost, now_s)
+
+    def _continue_without_calls(self, now_s: float) -> None:
+        """Ends waits for calls if none is left, or tries another shard."""
+        if self._starting or not (self._trial_shards or self._ended):
+            return
+        if self._has_open_calls():
+            return
+        if self._trial_shards and not self._ended:
+            self._start_trial(now_s)
+            return
+        for shard in self._shards.values():
+            if shard.pending:
+                self._fail_shard(shard)
+
+    def _has_open_calls(self) -> bool:
+        return bool(self._groups) or any(
+            shard.open_calls or shard.retry_at_s < math.inf
+            for shard in self._shards.values()
+            if shard.pending
+        )
+
+    def _is_suspicious(self) -> bool:
+        """Returns whether the request may be the reason for missing parts.
+
+        No part has arrived from any of several endpoints. More calls would end
+        more endpoints if the request ends them. Endpoints that are silent look
+        the same.
+        """
+        return not self._answered_count and (
+            bool(self._ended)
+            or sum(bool(s.open_calls) for s in self._shards.values())
+            >= MIN_SUSPICIOUS_CALLS
+        )
+
+    def _report_suspect(self) -> None:
+        if self._ended and not self._answered_count and not self._for_node:
+            self._context.suspects.report_ends(
+                self._request, self._route.name, self._ended
+            )
+
+    # ---- repeats ----
+
+    def _repeat_failed(
+        self, shard: _shard.Shard, reply: _call.Reply, now_s: float
+    ) -> None:
+        """Calls a shard again after a failure, or gives it up."""
         was_sent = reply.outcome is not _call.Outcome.NOT_SENT
         if (
             shard.runs >= self._route.max_attempts
@@ -416,6 +565,7 @@
             self._hedge(now_s)
         if now_s >= self._check_groups_at_s:
             self._check_groups(now_s)
+        self._continue_without_calls(now_s)
 
     def _retry_now(self, shard: _shard.Shard, now_s: float) -> None:
         cause = _call.Cause.RETRY if shard.refusals else _call.Cause.FIRST
@@ -430,30 +580,51 @@
     def _hedge(self, now_s: float) -> None:
         """Sends hedged calls for shards whose calls take long."""
         self._hedge_at_s = math.inf
+        if self._trial_shards:
+            if not self._ended and len(self._trial_shards) < MAX_TRIAL_SHARDS:
+                self._start_trial(now_s)
+            return
+        is_suspicious = self._is_suspicious()
+        if is_suspicious:
+            self._hedge_at_s = now_s + RETRY_DELAY_S
+            if self._ended or now_s < self._next_single_hedge_s:
+                return
         for shard in self._shards.values():
             if not shard.pending or not shard.open_calls:
                 continue
             if shard.runs >= self._route.max_attempts:
                 continue
-            # A chosen endpoint counts against its limits, so the budget is
-            # checked before.
-            if not self._context.budget.has_token(shard.service):
-                shard.failure = "the retry budget is exhausted"
-                self._hedge_at_s = min(
-                    self._hedge_at_s, now_s + BUDGET_RETRY_DELAY_S
-                )
-                continue
-            replica = self._context.pool.choose_replica(
-                shard.service, shard.tried, only_healthy=True
+            if self._hedge_shard(shard, now_s) and is_suspicious:
+                # Its answer shows whether the others may be hedged.
+                delay_ms = self._context.hedge_delays.delay_ms(self._route)
+                self._next_single_hedge_s = now_s + delay_ms / 1000
+                return
+
+    def _hedge_shard(self, shard: _shard.Shard, now_s: float) -> bool:
+        """Sends a hedged call for a shard; returns False if none was sent."""
+        budget = self._context.budget
+        # A chosen endpoint counts against its limits, so the budget is checked
+        # before.
+        if not budget.has_token(shard.service):
+            shard.failure = "the retry budget is exhausted"
+            self._hedge_at_s = min(
+                self._hedge_at_s, now_s + BUDGET_RETRY_DELAY_S
             )
-            if replica is None:
-                shard.failure = "no other healthy endpoint for a hedged call"
-                self._hedge_at_s = min(self._hedge_at_s, now_s + RETRY_DELAY_S)
-            elif self._context.budget.try_consume(shard.service):
-                shard.failure = ""
-                self._context.metrics.extra_calls.labels("hedge").inc()
-                self.repeats += 1
-                self._submit(shard, replica, _call.Cause.HEDGE)
+            return False
+        replica = self._context.pool.choose_replica(
+            shard.service, shard.tried, only_healthy=True
+        )
+        if replica is None:
+            shard.failure = "no other healthy endpoint for a hedged call"
+            self._hedge_at_s = min(self._hedge_at_s, now_s + RETRY_DELAY_S)
+            return False
+        if not budget.try_consume(shard.service):
+            return False
+        shard.failure = ""
+        self._context.metrics.extra_calls.labels("hedge").inc()
+        self.repeats += 1
+        self._submit(shard, replica, _call.Cause.HEDGE)
+        return True
 
     # ---- completion ----
 
@@ -536,7 +707,11 @@
     def list_shard_outcomes(self) -> list[_shard.ShardOutcome]:
         """Returns the outcome of each shard, in the order of the request."""
         return [
-            _shard.ShardOutcome(shard.part is not None, frozenset(shard.ran_on))
+            _shard.ShardOutcome(
+                shard.part is not None,
+                frozenset(shard.ran_on),
+                frozenset(shard.ended),
+            )
             for shard in self._shards.values()
         ]
 
--- a/src/geraniumstair/forward/_shard.py
+++ b/src/geraniumstair/forward/_shard.py
@@ -22,14 +22,20 @@
         failed: No part will arrive.
         failure: Why the last call failed, for the log.
         delegated: Another node calls this shard.
+        ended: Endpoints that ended while they ran the request, with their
+            starts.
+        held: An endpoint ended under its call. It is called again when another
+            part shows that the request does not end endpoints.
         may_have_run_remotely: The call of another node failed, but its request
             may have reached an endpoint.
     """
 
     __slots__ = (
         "delegated",
+        "ended",
         "failed",
         "failure",
+        "held",
         "may_have_run_remotely",
         "open_calls",
         "part",
@@ -53,6 +59,8 @@
         self.failed = False
         self.failure = ""
         self.delegated = False
+        self.ended: set[str] = set()
+        self.held = False
         self.may_have_run_remotely = False
 
     @property
@@ -79,7 +87,9 @@
     Attributes:
         answered: The shard's part has arrived.
         tried: Endpoints that may have run the request.
+        ended: Endpoints that ended while they ran it, with their starts.
     """
 
     answered: bool
     tried: frozenset[str]
+    ended: frozenset[str] = frozenset()
--- a/src/geraniumstair/forward/_single.py
+++ b/src/geraniumstair/forward/_single.py
@@ -37,6 +37,7 @@
         service: str,
     ) -> None:
         self._context = context
+        self._request = request
         self._route = route
         self._service = service
         self._prepared = context.dialect.prepare(request)
@@ -152,12 +153,19 @@
             self._context.hedge_delays.add(self._route, took_ms)
             self._result = _result.SingleResult(reply)
         else:
-            self._handle_failure(reply)
+            self._handle_failure(call, reply)
         if self._result is not None:
             self._wake.set()
 
-    def _handle_failure(self, reply: _call.Reply) -> None:
+    def _handle_failure(self, call: _call.Call, reply: _call.Reply) -> None:
         outcome = reply.outcome
+        blocked = False
+        if reply.endpoint_ended:
+            suspects = self._context.suspects
+            suspects.report_ends(
+                self._request, self._route.name, {call.instance_name}
+            )
+            blocked = suspects.is_blocked(self._request)
         if outcome.not_run:
             self._runs -= 1
             self._refusals += 1
@@ -169,6 +177,7 @@
         was_sent = outcome is not _call.Outcome.NOT_SENT
         if (
             not may_repeat
+            or blocked
             or self._runs >= self._route.max_attempts
             or self._refusals > MAX_REFUSALS
             or (
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -211,6 +211,7 @@
             forward.LimitGrants(
                 settings.node_id, pool, self._network, random.Random()
             ),
+            forward.SuspectRequests(trio.current_time, self._network),
         )
         forward.PartsServer(self._network, state, forwarder, self._lifecycle)
         self._mirror.subscribe(state.apply)
--- a/src/geraniumstair/platform/_http.py
+++ b/src/geraniumstair/platform/_http.py
@@ -70,6 +70,7 @@
     forward.RefusalReason.TIMEOUT: 504,
     forward.RefusalReason.ENDPOINT_FAILED: 502,
     forward.RefusalReason.OVERLOADED: 503,
+    forward.RefusalReason.SUSPECT: 503,
 }
 _UNAVAILABLE_STATUS = 503
 _MAX_REMAINING_MS = 3_600_000.0
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -227,6 +227,7 @@
         self._site = site
         self._endpoint_id = endpoint_id
         self._wake = trio.Event()
+        self._lost = False
 
     @property
     def usable(self) -> bool:
@@ -247,6 +248,11 @@
         self.closed = True
         self._wake.set()
 
+    def reset(self) -> None:
+        """Closes the link as its endpoint does."""
+        self._lost = not self.closed
+        self.close()
+
     async def run(self, owner: Any) -> None:
         """Replies to each call after the endpoint's delay."""
         while not self.closed:
@@ -256,7 +262,9 @@
                 await self._reply(owner)
         call, self.call = self.call, None
         if call is not None:
-            lost = forward.Reply(forward.Outcome.LOST, "closed")
+            lost = forward.Reply(
+                forward.Outcome.LOST, "closed", connection_lost=self._lost
+            )
             owner.on_call_ended(call, lost)
         owner.on_link_closed(self)
 
@@ -264,6 +272,10 @@
         behaviour = self._site.behaviour(self._endpoint_id)
         if not await behaviour.work(self._wake):
             return
+        assert self.call is not None
+        if self.call.prepared.request_id in self._site.crashing_ids:
+            self._site.crash(self._endpoint_id)
+            return
         if behaviour.reply is None:
             await self._wake.wait()
             return
@@ -285,6 +297,17 @@
         self.sent: list[tuple[str, forward.Call, bytes]] = []
         self.connections = 0
         self.links: list[FakeLink] = []
+        # Requests that end each endpoint that runs them.
+        self.crashing_ids: set[bytes] = set()
+        self.crashed: list[str] = []
+
+    def crash(self, endpoint_id: str) -> None:
+        """Ends an endpoint; its connections are reset, new ones refused."""
+        self.crashed.append(endpoint_id)
+        self.behaviour(endpoint_id).connects = False
+        for link in self.links:
+            if link._endpoint_id == endpoint_id:
+                link.reset()
 
     def behaviour(self, endpoint_id: str) -> Behaviour:
         """Returns the behaviour of an endpoint."""
@@ -317,8 +340,8 @@
         members: Nodes of the site besides this one.
         node_id: This node.
         site: The endpoints, if several nodes share them; None for new ones.
-        network: Network over which nodes give up requests to each other; None
-            without one.
+        network: Network over which nodes give up requests to each other and
+            report requests that end endpoints; None without one.
     """
 
     def __init__(
@@ -369,6 +392,7 @@
             FakeDialect(),
             self.metrics,
             grants=grants,
+            suspects=forward.SuspectRequests(trio.current_time, network),
         )
         nursery.start_soon(self.forwarder.run)
 
