Count a node's repeats from its start

What callers would see: for the first 20 s of a process on a large site, a search whose group gets no acknowledgement is not asked for again.

Cause: a process starts with few repeats for each service, and gained more only from its first request to that service on. With the number divided among all nodes that is a seventh of a repeat. It now gains them from its start, as a process that has sent nothing since then may.

Before: test_a_node_that_was_idle_may_repeat_its_first_request fails. After: it passes, and the sums over all nodes stay within what is allowed.

Conclusion: a gap of the divided budget, found by reading the diff.

--- a/src/geraniumstair/forward/_budget.py
+++ b/src/geraniumstair/forward/_budget.py
@@ -79,6 +79,7 @@
     ) -> None:
         self._limits = limits
         self._clock = clock
+        self._started_s = clock()
         self._buckets: dict[str, _Bucket] = {}
         self._find_share: Callable[[str], float] = _take_all
 
@@ -157,11 +158,11 @@
         bucket = self._buckets.get(service)
         if bucket is None:
             # The previous process of this node may have used its share shortly
-            # before, so a new process starts with few tokens.
+            # before, so a new process starts with few tokens. It has gained
+            # more since then.
             tokens = INITIAL_SHARE * self._compute_burst(service)
-            bucket = _Bucket(tokens, now_s)
+            bucket = _Bucket(tokens, self._started_s)
             self._buckets[service] = bucket
-            return bucket
         elapsed_s = now_s - bucket.refilled_at_s
         bucket.refilled_at_s = now_s
         per_s = (
--- a/tests/test_forward_repeats.py
+++ b/tests/test_forward_repeats.py
@@ -46,7 +46,7 @@
 
     def start_all(self) -> None:
         """Starts all nodes, or restarts them without what they saved."""
-        self._budgets = {n: self._start(n) for n in self._infos}
+        self.budgets = {n: self._start(n) for n in self._infos}
 
     def _start(self, node_id: str) -> forward.RetryBudget:
         fixture = builders.ForwarderFixture(
@@ -66,7 +66,7 @@
         """Sends requests to all nodes for some time."""
         for step in range(round(duration_s / STEP_S)):
             await trio.sleep(STEP_S)
-            for index, (node_id, budget) in enumerate(self._budgets.items()):
+            for index, (node_id, budget) in enumerate(self.budgets.items()):
                 calls_groups = node_id.startswith("large")
                 steps = (
                     GROUP_REQUEST_STEPS
@@ -116,6 +116,17 @@
 
         builders.run_on_virtual_clock(test)
 
+    def test_a_node_that_was_idle_may_repeat_its_first_request(self) -> None:
+        # A node asks for shards again if the node that calls them is lost.
+        async def test(nursery: trio.Nursery) -> None:
+            site = _Site(nursery)
+            await trio.sleep(30)
+            for budget in site.budgets.values():
+                budget.record_request(SHARD)
+                self.assertTrue(budget.try_consume(SHARD))
+
+        builders.run_on_virtual_clock(test)
+
     def test_the_shares_of_all_nodes_add_up_to_one(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             nodes = _build_nodes()
