Choose the shard of a trial by a hash of the request

Measured: CrashingRequestTest. Behaviour is the same otherwise.

Conclusion: reproducible; a comment says what the wishes' limit counts.

--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -50,6 +50,7 @@
 # store may have removed its registration while it serves. Equal to the duration
 # of the registration's lease.
 MEMBER_RETENTION_S = 30.0
+# Instances whose wishes are kept while they are not registered.
 MAX_EARLIER_WISHES = 1000
 
 
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -5,10 +5,10 @@
 import dataclasses
 import functools
 import math
-import random
 from typing import Any
 
 import trio
+import xxhash
 
 from geraniumstair import routing
 from geraniumstair.forward import _admission
@@ -222,8 +222,14 @@
             for shard in self._shards.values()
             if shard.service not in self._trial_shards
         ]
-        random.shuffle(candidates)
-        candidates.sort(key=lambda shard: shard.service in planned)
+        # The hash spreads the trials of different requests over the shards.
+        request_id = self._request.request_id
+        candidates.sort(
+            key=lambda shard: (
+                shard.service in planned,
+                xxhash.xxh64_intdigest(request_id + shard.service.encode()),
+            )
+        )
         for shard in candidates:
             self._trial_shards.add(shard.service)
             self._start_shard(shard, now_s)
