Give the first node for a block most of the divided repeats

Cause: fifteen nodes may be asked for a shard there, but the first of each zone's ranking gets nearly all of its calls, and had 6 repeats in ten seconds where it had 15 before. It now counts four times as much as the second and as those that other zones ask.

Conclusion: the parts follow the calls; the sum stays (LargeSiteRepeatsTest).

--- a/src/geraniumstair/forward/_delegation_nodes.py
+++ b/src/geraniumstair/forward/_delegation_nodes.py
@@ -25,9 +25,9 @@
 INTER_ZONE_NODES = 3
 # Shards of a large search that form one block.
 BLOCK_SHARDS = 10
-# Nodes of a zone that are asked for a block: the first one, and the next while
-# it does not answer.
-FIRST_RANKED_NODES = 2
+# How much more often the first node of the ranking for a block is asked than
+# the next one and those that other zones ask.
+FIRST_NODE_WEIGHT = 4.0
 _HASH_RANGE = 2.0**64
 _MIN_CORES = 0.05
 
@@ -148,12 +148,12 @@
     return keys
 
 
-def select_group_callers(
+def weigh_group_callers(
     selected: Mapping[str, Sequence[str]],
     keys: Set[str],
     nodes: Mapping[str, NodeInfo],
-) -> frozenset[str]:
-    """Returns the nodes that are asked first for a shard of a large search.
+) -> dict[str, float]:
+    """Returns the nodes that are asked for a shard, and how often, relatively.
 
     Args:
         selected: The nodes that call shards for others, in the zones of the
@@ -161,14 +161,21 @@
         keys: Keys of the blocks that contain the shard.
         nodes: What is known about these nodes.
     """
-    callers: set[str] = set()
+    weights: dict[str, float] = {}
+
+    def add(node_ids: Sequence[str], weight: float) -> None:
+        for node_id in node_ids:
+            weights[node_id] = weights.get(node_id, 0.0) + weight
+
     for node_ids in selected.values():
         known = [n for n in node_ids if n in nodes]
-        callers.update(known[:INTER_ZONE_NODES])
+        add(known[:INTER_ZONE_NODES], 1.0)
         for key in keys:
             ranked = rank_by_weight(known, key, nodes)
-            callers.update(ranked[:FIRST_RANKED_NODES])
-    return frozenset(callers)
+            add(ranked[:1], FIRST_NODE_WEIGHT)
+            # Asked while the first one does not answer.
+            add(ranked[1:2], 1.0)
+    return weights
 
 
 def rank_by_weight(
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -120,8 +120,9 @@
         self._group_nodes: Mapping[str, Sequence[str]] = {}
         # True if this node is one of them, or none is known yet.
         self._calls_groups = True
-        # Nodes that call a grouped service for others; found when needed.
-        self._group_callers: dict[str, frozenset[str]] = {}
+        # Weights of the nodes that call a grouped service for others; computed
+        # when needed.
+        self._group_callers: dict[str, Mapping[str, float]] = {}
         self._current_members: frozenset[str] = frozenset([settings.node_id])
         self._last_member_at_s: dict[str, float] = {}
         self._node_infos: dict[str, _delegation_nodes.NodeInfo] = {
@@ -415,18 +416,19 @@
         other_count = node_count - len(callers)
         if not callers or other_count <= 0:
             return 1 / node_count
-        if self._settings.node_id in callers:
-            return GROUPED_REPEATS_SHARE / len(callers)
+        weight = callers.get(self._settings.node_id)
+        if weight is not None:
+            return GROUPED_REPEATS_SHARE * weight / sum(callers.values())
         return (1 - GROUPED_REPEATS_SHARE) / other_count
 
-    def _find_group_callers(self, service: str) -> frozenset[str]:
+    def _find_group_callers(self, service: str) -> Mapping[str, float]:
         callers = self._group_callers.get(service)
         if callers is None:
             zones = {
                 r.entry.availability_zone
                 for r in self._registered.get(service, ())
             }
-            callers = _delegation_nodes.select_group_callers(
+            callers = _delegation_nodes.weigh_group_callers(
                 {z: n for z, n in self._group_nodes.items() if z in zones},
                 self._block_keys.get(service, frozenset()),
                 self._node_infos,
