Look up a node's part of the budget less often

Cause: a node ranked the nodes of a shard again after each change of one of its endpoints, within a search, and asked for its share several times a call.

What changes: the ranking is kept by zones and blocks until the nodes change, a share for half a second; the checks for requests that end endpoints run only if an endpoint has ended.

Conclusion: less work in the path of each call.

--- a/src/geraniumstair/forward/_budget.py
+++ b/src/geraniumstair/forward/_budget.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 
 # Share of the allowed repeats that the nodes use. The rest is for repeats that
 # cross the edge of a window, and for nodes that have just joined.
@@ -16,6 +17,9 @@
 # Share of the fixed number that can be consumed at once; the rest is refilled
 # over the window.
 BURST_SHARE = 0.6
+# How long a node's share of the fixed number is used before it is looked up
+# again. Each call of a search asks for it several times.
+SHARE_TTL_S = 0.5
 # Share of the burst with which a process starts.
 INITIAL_SHARE = 0.25
 
@@ -56,11 +60,22 @@
 
 
 class _Bucket:
-    __slots__ = ("calls", "refilled_at_s", "repeats", "requests", "tokens")
-
-    def __init__(self, tokens: float, refilled_at_s: float) -> None:
-        self.tokens = tokens
+    __slots__ = (
+        "calls",
+        "node_extra_repeats",
+        "refilled_at_s",
+        "repeats",
+        "requests",
+        "share_found_s",
+        "tokens",
+    )
+
+    def __init__(self, refilled_at_s: float) -> None:
+        self.tokens = 0.0
         self.refilled_at_s = refilled_at_s
+        # This node's part of the fixed number, and when it was computed.
+        self.node_extra_repeats = 0.0
+        self.share_found_s = -math.inf
         self.requests = 0
         self.calls = 0
         self.repeats = 0
@@ -95,8 +110,13 @@
         """
         self._find_share = find_share
 
-    def _compute_node_extra_repeats(self, service: str) -> float:
-        return (
+    def _update_share(
+        self, bucket: _Bucket, service: str, now_s: float
+    ) -> None:
+        if now_s < bucket.share_found_s + SHARE_TTL_S:
+            return
+        bucket.share_found_s = now_s
+        bucket.node_extra_repeats = (
             USED_SHARE * self._limits.extra_repeats * self._find_share(service)
         )
 
@@ -104,12 +124,13 @@
         """Adds tokens for the first call of a request to a service."""
         bucket = self._refill_bucket(service)
         tokens = bucket.tokens + USED_SHARE * self._limits.ratio
-        bucket.tokens = min(self._compute_capacity(service), tokens)
+        bucket.tokens = min(_compute_capacity(bucket), tokens)
         bucket.requests += 1
 
     def record_call(self, service: str) -> None:
         """Counts a call for the report, whether it is a repeat or not."""
-        self._refill_bucket(service).calls += 1
+        bucket = self._buckets.get(service) or self._refill_bucket(service)
+        bucket.calls += 1
 
     def has_token(self, service: str) -> bool:
         """Returns whether the budget allows a repeat now."""
@@ -141,39 +162,40 @@
                     bucket.requests,
                     bucket.calls,
                     bucket.repeats,
-                    self._compute_node_extra_repeats(service),
+                    bucket.node_extra_repeats,
                 )
             )
             bucket.requests = bucket.calls = bucket.repeats = 0
         return usage
 
-    def _compute_burst(self, service: str) -> float:
-        return BURST_SHARE * self._compute_node_extra_repeats(service)
-
-    def _compute_capacity(self, service: str) -> float:
-        return max(1.0, self._compute_burst(service))
-
     def _refill_bucket(self, service: str) -> _Bucket:
         now_s = self._clock()
         bucket = self._buckets.get(service)
         if bucket is None:
+            bucket = self._buckets[service] = _Bucket(self._started_s)
+            self._update_share(bucket, service, now_s)
             # The previous process of this node may have used its share shortly
             # before, so a new process starts with few tokens. It has gained
             # more since then.
-            tokens = INITIAL_SHARE * self._compute_burst(service)
-            bucket = _Bucket(tokens, self._started_s)
-            self._buckets[service] = bucket
+            bucket.tokens = INITIAL_SHARE * BURST_SHARE
+            bucket.tokens *= bucket.node_extra_repeats
+        else:
+            self._update_share(bucket, service, now_s)
         elapsed_s = now_s - bucket.refilled_at_s
         bucket.refilled_at_s = now_s
         per_s = (
             (1 - BURST_SHARE)
-            * self._compute_node_extra_repeats(service)
+            * bucket.node_extra_repeats
             / self._limits.window_s
         )
         tokens = bucket.tokens + per_s * elapsed_s
-        bucket.tokens = min(self._compute_capacity(service), tokens)
+        bucket.tokens = min(_compute_capacity(bucket), tokens)
         return bucket
 
 
+def _compute_capacity(bucket: _Bucket) -> float:
+    return max(1.0, BURST_SHARE * bucket.node_extra_repeats)
+
+
 def _take_all(service: str) -> float:
     return 1.0
--- a/src/geraniumstair/forward/_call.py
+++ b/src/geraniumstair/forward/_call.py
@@ -155,7 +155,8 @@
         route: Name of the caller's route.
         cause: Why the call is made.
         endpoint_id: Endpoint that the call was submitted to; empty before.
-        instance_name: Id and start of that endpoint.
+        instance_name: Id and start of that endpoint, if it closed the
+            connection; empty before.
         submitted_s: When the call was submitted to an endpoint.
         sent: Some bytes of the request were sent, or may have been.
         sent_s: When the first byte was sent.
--- a/src/geraniumstair/forward/_delegation_nodes.py
+++ b/src/geraniumstair/forward/_delegation_nodes.py
@@ -134,7 +134,7 @@
 
 def find_block_keys(
     searches: Iterable[Sequence[str]],
-) -> dict[str, set[str]]:
+) -> dict[str, frozenset[str]]:
     """Returns the keys of the blocks that contain each shard.
 
     Args:
@@ -145,7 +145,7 @@
         for block in split_into_blocks(shards):
             for shard in block:
                 keys.setdefault(shard, set()).add(block[0])
-    return keys
+    return {shard: frozenset(found) for shard, found in keys.items()}
 
 
 def weigh_group_callers(
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -120,9 +120,12 @@
         self._group_nodes: Mapping[str, Sequence[str]] = {}
         # True if this node is one of them, or none is known yet.
         self._calls_groups = True
-        # Weights of the nodes that call a grouped service for others; computed
-        # when needed.
-        self._group_callers: dict[str, Mapping[str, float]] = {}
+        # Weights of the nodes that call a grouped service for others, by the
+        # zones of its endpoints and the keys of its blocks. Ranking nodes takes
+        # longer than a call, so changes of endpoints must not repeat it.
+        self._group_callers: dict[
+            tuple[frozenset[str], frozenset[str]], Mapping[str, float]
+        ] = {}
         self._current_members: frozenset[str] = frozenset([settings.node_id])
         self._last_member_at_s: dict[str, float] = {}
         self._node_infos: dict[str, _delegation_nodes.NodeInfo] = {
@@ -140,7 +143,7 @@
         self._sweep_needed = trio.Event()
         self._zones_out: frozenset[str] = frozenset()
         self._grouped_services: frozenset[str] = frozenset()
-        self._block_keys: Mapping[str, Set[str]] = {}
+        self._block_keys: Mapping[str, frozenset[str]] = {}
 
     # ---- routes, members and registry ----
 
@@ -176,6 +179,8 @@
         }
         infos_changed = infos != self._node_infos
         self._node_infos = infos
+        if infos_changed:
+            self._group_callers.clear()
         now_s = trio.current_time()
         self._last_member_at_s.update(
             dict.fromkeys(self._current_members | current, now_s)
@@ -317,7 +322,6 @@
             if replica.entry.service in services:
                 found.setdefault(replica.entry.service, []).append(replica)
         for service in services:
-            self._group_callers.pop(service, None)
             self._by_service.pop(service, None)
             self._registered.pop(service, None)
         for service, replicas in found.items():
@@ -422,18 +426,18 @@
         return (1 - GROUPED_REPEATS_SHARE) / other_count
 
     def _find_group_callers(self, service: str) -> Mapping[str, float]:
-        callers = self._group_callers.get(service)
+        zones = frozenset(
+            r.entry.availability_zone for r in self._registered.get(service, ())
+        )
+        block_keys = self._block_keys.get(service, frozenset())
+        callers = self._group_callers.get((zones, block_keys))
         if callers is None:
-            zones = {
-                r.entry.availability_zone
-                for r in self._registered.get(service, ())
-            }
             callers = _delegation_nodes.weigh_group_callers(
                 {z: n for z, n in self._group_nodes.items() if z in zones},
-                self._block_keys.get(service, frozenset()),
+                block_keys,
                 self._node_infos,
             )
-            self._group_callers[service] = callers
+            self._group_callers[zones, block_keys] = callers
         return callers
 
     # ---- load balancing ----
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -232,7 +232,6 @@
     def submit(self, call: _call.Call) -> None:
         """Sends a call, now or as soon as a connection is free."""
         call.endpoint_id = self.entry.endpoint_id
-        call.instance_name = f"{call.endpoint_id}@{self.entry.started_ms}"
         call.submitted_s = self._last_call_s = trio.current_time()
         heapq.heappush(
             self._waiting, (call.priority, next(self._submit_order), call)
@@ -455,7 +454,9 @@
             )
         finally:
             lost_calls, self._lost_calls = self._lost_calls, []
+            started_ms = self.entry.started_ms
             for call, reply in lost_calls:
+                call.instance_name = f"{call.endpoint_id}@{started_ms}"
                 self._deliver(
                     call, dataclasses.replace(reply, endpoint_ended=ended)
                 )
@@ -475,9 +476,9 @@
             self.wishes.leaving = True
             self._log_wish("an endpoint states that it shuts down")
             self._reject_waiting("the endpoint shuts down")
-        now_s = trio.current_time()
         if reply.pause_s <= 0:
             return
+        now_s = trio.current_time()
         if not self.is_paused(now_s):
             self._log_wish("an endpoint wants no requests for some time", reply)
         until_s = now_s + reply.pause_s
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -281,8 +281,9 @@
         for shard in group_shards:
             if shard.pending:
                 self._take_over(shard, reply)
-        self._release_held(trio.current_time())
-        self._continue_without_calls(trio.current_time())
+        if self._ended:
+            self._release_held(trio.current_time())
+            self._continue_without_calls(trio.current_time())
         if self._is_decided():
             self._wake.set()
 
@@ -415,7 +416,8 @@
             self._accept_part(shard, reply, (now_s - call.submitted_s) * 1000)
         else:
             self._handle_failure(shard, call, reply, now_s)
-        self._continue_without_calls(now_s)
+        if self._ended or self._trial_shards:
+            self._continue_without_calls(now_s)
         if self._is_decided():
             self._wake.set()
 
@@ -428,7 +430,8 @@
         self._abandon_shard(shard)
         if self._trial_shards:
             self._start_all(trio.current_time())
-        self._release_held(trio.current_time())
+        if self._ended:
+            self._release_held(trio.current_time())
 
     def _handle_failure(
         self,
@@ -468,7 +471,7 @@
 
     def _release_held(self, now_s: float) -> None:
         """Calls held shards again once a part has arrived."""
-        if not self._ended or not self._answered_count:
+        if not self._answered_count:
             return
         for shard in self._shards.values():
             if shard.held and shard.pending:
@@ -479,9 +482,7 @@
 
     def _continue_without_calls(self, now_s: float) -> None:
         """Ends waits for calls if none is left, or tries another shard."""
-        if self._starting or not (self._trial_shards or self._ended):
-            return
-        if self._has_open_calls():
+        if self._starting or self._has_open_calls():
             return
         if self._trial_shards and not self._ended:
             self._start_trial(now_s)
@@ -571,7 +572,8 @@
             self._hedge(now_s)
         if now_s >= self._check_groups_at_s:
             self._check_groups(now_s)
-        self._continue_without_calls(now_s)
+        if self._ended or self._trial_shards:
+            self._continue_without_calls(now_s)
 
     def _retry_now(self, shard: _shard.Shard, now_s: float) -> None:
         cause = _call.Cause.RETRY if shard.refusals else _call.Cause.FIRST
