Record each client attempt in the records of the review's scripts

The records listed only the verdict. Now they have a line for each attempt: when it was sent, answered, arrived and ran.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -83,6 +83,7 @@
     def judge(self) -> bool:
         """Returns whether the rules TWICE and REFUSED held."""
         log = self.site.log
+        self.site.log_attempts()
         runs: dict[str, list[str]] = {}
         for endpoint in self.site.endpoints:
             for at_s, request_id in endpoint.runs:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -110,6 +110,7 @@
 
     def judge(self) -> bool:
         """Returns whether the rule DRAIN held."""
+        self.site.log_attempts()
         broken = 0
         for endpoint in self.site.endpoints:
             left_s = self.left_s.get(endpoint.endpoint_id)
--- a/review/harness/site.py
+++ b/review/harness/site.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
+import math
 import pathlib
 import random
 import shutil
@@ -17,6 +19,8 @@
 from soak import _store
 
 HOST = "review.example"
+# A search arrives at a backend of each shard; only their number is recorded.
+MAX_LISTED_PLACES = 8
 _BROKEN = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -25,6 +29,23 @@
 )
 
 
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One client attempt.
+
+    Attributes:
+        node: Machine that it was sent to.
+        sent_s: When it was sent.
+        ended_s: When it was answered or given up.
+        status: Status of the answer; 0 without one.
+    """
+
+    node: str
+    sent_s: float
+    ended_s: float = math.inf
+    status: int = 0
+
+
 class Site:
     """Everything of one run.
 
@@ -37,6 +58,7 @@
         store: The platform's store.
         endpoints: All backends that were started.
         nodes: The machines of the system.
+        attempts: All client attempts by their ids.
     """
 
     def __init__(self, nursery: trio.Nursery, directory: pathlib.Path) -> None:
@@ -44,6 +66,7 @@
         self.store = _store.SimulatedStore(random.Random(1))
         self.endpoints: list[endpoints.Endpoint] = []
         self.nodes: list[nodes.Node] = []
+        self.attempts: dict[str, Attempt] = {}
         self._nursery = nursery
         self._directory = directory
         self._version = 0
@@ -125,6 +148,24 @@
         body: bytes | None = None,
     ) -> httpcore.Response | None:
         """Sends one client attempt; returns None if it got no answer."""
+        attempt = Attempt(node.name, self.log.now_s())
+        self.attempts[request_id] = attempt
+        response = await self._exchange(
+            node, method, path, request_id, remaining_ms, body
+        )
+        attempt.ended_s = self.log.now_s()
+        attempt.status = 0 if response is None else response.status
+        return response
+
+    async def _exchange(
+        self,
+        node: nodes.Node,
+        method: str,
+        path: str,
+        request_id: str,
+        remaining_ms: int,
+        body: bytes | None,
+    ) -> httpcore.Response | None:
         with trio.move_on_after(remaining_ms / 1000):
             try:
                 return await self._clients[node.name].request(
@@ -141,6 +182,26 @@
                 return None
         return None
 
+    def log_attempts(self) -> None:
+        """Adds a line for each attempt: sent, answered, arrived and run."""
+        arrivals: dict[str, list[str]] = {}
+        runs: dict[str, list[str]] = {}
+        for endpoint in self.endpoints:
+            for found, places in (
+                (endpoint.arrivals, arrivals),
+                (endpoint.runs, runs),
+            ):
+                for at_s, request_id in found:
+                    text = f"{endpoint.endpoint_id} {at_s:.3f}"
+                    places.setdefault(request_id, []).append(text)
+        for request_id, attempt in self.attempts.items():
+            self.log.add(
+                f"{request_id}: sent to {attempt.node} {attempt.sent_s:.3f}, "
+                f"answered {attempt.status} {attempt.ended_s:.3f}, "
+                f"arrived at {_list_places(arrivals.get(request_id, []))}, "
+                f"ran on {_list_places(runs.get(request_id, []))}"
+            )
+
     def restart(self, node: nodes.Node) -> None:
         """Starts a node again."""
         node.start(nodes.find_seeds(self.nodes))
@@ -152,6 +213,12 @@
             node.end()
 
 
+def _list_places(places: list[str]) -> str:
+    if len(places) > MAX_LISTED_PLACES:
+        return f"{len(places)} backends"
+    return ", ".join(places) or "none"
+
+
 Scenario = Callable[[Site], Awaitable[bool]]
 
 
