Keep the planned loss of a backend in review/1 within the site's dose

One of two backends was taken away, more than the largest share of `scale_in` in the site file. Now it is one of eight, of four services.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,8 +20,13 @@
 PAUSE_S = 1.0
 SLOTS = 2
 QUEUE = 2
-WORK_S = (0.02, 0.04)
-REQUESTS_PER_S = 50.0
+WORK_S = (0.025, 0.045)
+# Four services of two backends each. `scale_in` takes one of the eight (0.125);
+# the site's day scale-2 takes 0.157.
+SERVICES = 4
+REQUESTS_PER_S = 56.0
+# Share of the requests for the service that has one backend left.
+BUSY_SHARE = 0.8
 REMAINING_MS = 6000
 # Statuses which promise that the request has not run and never will.
 PROMISES = frozenset([408, 421, 429, 503])
@@ -64,10 +69,12 @@
         )
         return answer
 
-    async def send_one(self, node: nodes.Node, request_id: str) -> None:
+    async def send_one(
+        self, node: nodes.Node, service: int, request_id: str
+    ) -> None:
         """Sends a request that may not be repeated."""
         response = await self.site.send(
-            node, "POST", "/lot/x", request_id, REMAINING_MS, b"body"
+            node, "POST", f"/lot-{service}/x", request_id, REMAINING_MS, b"body"
         )
         self.statuses[request_id] = 0 if response is None else response.status
 
@@ -78,7 +85,12 @@
             await trio.sleep(self._rng.expovariate(REQUESTS_PER_S))
             self.sent += 1
             node = self._rng.choice(self.site.nodes)
-            nursery.start_soon(self.send_one, node, f"r{self.sent:05d}")
+            service = 0
+            if self._rng.random() >= BUSY_SHARE:
+                service = self._rng.randrange(1, SERVICES)
+            nursery.start_soon(
+                self.send_one, node, service, f"r{self.sent:05d}"
+            )
 
     def judge(self) -> bool:
         """Returns whether the rules TWICE and REFUSED held."""
@@ -115,38 +127,39 @@
         return not twice and not refused
 
 
+def _build_route(service: int) -> dict[str, object]:
+    return {
+        "Name": f"lot-{service}",
+        "Prefix": f"/lot-{service}/",
+        "RouteType": "non_idempotent",
+        "TimeoutMs": 6000,
+        "LatencyGoalMs": 600,
+        "Priority": 2,
+        "MaxAttempts": 2,
+        "Service": f"registry-{service}",
+    }
+
+
 async def _play(site: site_module.Site) -> bool:
     case = Case(site)
-    for number, zone in enumerate(("z1", "z2")):
-        await site.add(
-            endpoints.Endpoint(
-                f"i-{zone}",
-                "registry",
-                zone,
-                site.log,
-                slots=SLOTS,
-                queue=QUEUE,
-                work_s=case.work_s,
-                spoil=case.spoil if number == 0 else None,
+    for service in range(SERVICES):
+        for number, zone in enumerate(("z1", "z2")):
+            await site.add(
+                endpoints.Endpoint(
+                    f"i-{service}-{zone}",
+                    f"registry-{service}",
+                    zone,
+                    site.log,
+                    slots=SLOTS,
+                    queue=QUEUE,
+                    work_s=case.work_s,
+                    spoil=case.spoil if number == 0 else None,
+                )
             )
-        )
-    site.write_routes(
-        [
-            {
-                "Name": "lot",
-                "Prefix": "/lot/",
-                "RouteType": "non_idempotent",
-                "TimeoutMs": 6000,
-                "LatencyGoalMs": 600,
-                "Priority": 2,
-                "MaxAttempts": 2,
-                "Service": "registry",
-            }
-        ]
-    )
+    site.write_routes([_build_route(s) for s in range(SERVICES)])
     await site.start_nodes((3, 2, 2))
     await trio.sleep(1)
-    # One of the two backends is emptied and taken away.
+    # One backend is emptied and taken away.
     leaving = site.endpoints[1]
     site.put_entry(leaving, "draining")
     site.log.add(f"store confirms: {leaving.endpoint_id} is draining")
