Do not send a request again where it has been answered

Cause: an answer names the caller's attempt, not the call. A rejected request is sent again to the same endpoint, mostly over the same connection. A late copy of the rejection has the id of the second call and ends it as "not run", while the endpoint runs it; the node then repeats the request or refuses it.

A connection now remembers its last 32 answered requests, and carries no second call of one of them. If no other connection is free, a new one is opened; at the endpoint's limit, a free one is closed for it. Calls of searches and calls for other nodes use the same connections, so they are covered.

A test that used one request id for three requests now uses three: each attempt of a caller has its own.

--- a/src/geraniumstair/forward/_link.py
+++ b/src/geraniumstair/forward/_link.py
@@ -5,6 +5,7 @@
 waits for, and each reply wakes one task.
 """
 
+import collections
 import socket
 from typing import Protocol
 
@@ -24,6 +25,9 @@
 DEFAULT_IDLE_LIMIT_S = 4.0
 # A peer that disappeared without a reset is detected after this time.
 USER_TIMEOUT_MS = 4000
+# Requests that a connection remembers. A late copy of an answer arrives while
+# one of the next calls waits for its own.
+MAX_ANSWERED_REQUESTS = 32
 
 
 class LinkOwner(Protocol):
@@ -48,6 +52,13 @@
     def usable(self) -> bool:
         """True if a call can be sent now."""
 
+    def has_answered(self, request_id: bytes) -> bool:
+        """Returns whether an answer to this request arrived recently.
+
+        A late copy of that answer can't be told from the answer to another call
+        of the request.
+        """
+
     def start(self, call: _call.Call, data: bytes) -> bool:
         """Sends a call; returns False if no byte of it was sent."""
 
@@ -101,6 +112,9 @@
         self._idle_since_s = trio.current_time()
         # Signature of the last answer; None before the first one.
         self._last_signature: bytes | None = None
+        self._answered_requests: collections.deque[bytes] = collections.deque(
+            maxlen=MAX_ANSWERED_REQUESTS
+        )
         self._unsent = b""
         self._has_unsent = trio.Event()
         self._close_reason = ""
@@ -114,6 +128,10 @@
         idle_s = trio.current_time() - self._idle_since_s
         return idle_s < self._idle_limit_s - IDLE_MARGIN_S
 
+    def has_answered(self, request_id: bytes) -> bool:
+        """Returns whether an answer to this request arrived recently."""
+        return request_id in self._answered_requests
+
     def start(self, call: _call.Call, data: bytes) -> bool:
         """Sends a call; returns False if no byte of it was sent."""
         if not call.idempotent and self._has_unread_input():
@@ -252,6 +270,7 @@
                     "a response without request id on a reused connection",
                 )
         self._last_signature = reply.signature
+        self._answered_requests.append(call.prepared.request_id)
         self.call = None
         idle_s = self._dialect.idle_limit_s(response)
         if idle_s is not None:
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -287,29 +287,48 @@
         self._reject_waiting("the endpoint was removed")
 
     def _dispatch(self) -> None:
+        held: list[tuple[int, int, _call.Call]] = []
         while self._waiting:
-            if self._waiting[0][2].done:
-                heapq.heappop(self._waiting)
+            queued = heapq.heappop(self._waiting)
+            call = queued[2]
+            if call.done:
                 continue
-            link = self._pop_free_link()
-            if link is None:
+            link = self._pop_free_link(call)
+            if link is not None:
+                self._send(link, call)
+                continue
+            held.append(queued)
+            if not self._free_links:
                 break
-            self._send(link, heapq.heappop(self._waiting)[2])
+        for queued in held:
+            heapq.heappush(self._waiting, queued)
         needed = sum(not queued[2].done for queued in self._waiting)
+        if self._opening_count < needed:
+            self._make_room()
         while self._opening_count < needed and self.link_count < self.max_links:
             self._open_link()
         if self._waiting:
             self._schedule_sweep(self)
 
-    def _pop_free_link(self) -> _link.Link | None:
-        while self._free_links:
-            link = self._free_links.pop()
-            if link.usable:
-                return link
-            if link.call is None:
-                link.close()
+    def _pop_free_link(self, call: _call.Call) -> _link.Link | None:
+        """Returns a link that the call may use; closes unusable ones."""
+        for index in range(len(self._free_links) - 1, -1, -1):
+            link = self._free_links[index]
+            if not link.usable:
+                del self._free_links[index]
+                if link.call is None:
+                    link.close()
+            elif not link.has_answered(call.prepared.request_id):
+                return self._free_links.pop(index)
         return None
 
+    def _make_room(self) -> None:
+        """Closes a free link that no queued call may use, if none can open."""
+        if self._free_links and self.link_count >= self.max_links:
+            link = self._free_links.pop(0)
+            self._links.discard(link)
+            link.close()
+
     def _send(self, link: _link.Link, call: _call.Call) -> None:
         remaining_ms = (call.deadline_s - trio.current_time()) * 1000
         if remaining_ms < 1:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -228,12 +228,17 @@
         self._endpoint_id = endpoint_id
         self._wake = trio.Event()
         self._lost = False
+        self._answered_requests: set[bytes] = set()
 
     @property
     def usable(self) -> bool:
         """True if a call can be sent now."""
         return not self.closed and self.call is None
 
+    def has_answered(self, request_id: bytes) -> bool:
+        """Returns whether an answer to this request was sent."""
+        return request_id in self._answered_requests
+
     def start(self, call: forward.Call, data: bytes) -> bool:
         """Accepts a call and records it."""
         self.call = call
@@ -285,6 +290,7 @@
             signature = self._endpoint_id.encode()
             reply = dataclasses.replace(reply, signature=signature)
         assert call is not None
+        self._answered_requests.add(call.prepared.request_id)
         owner.on_call_ended(call, reply)
         owner.on_link_free(self)
 
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -770,9 +770,10 @@
                     )
                     await trio.sleep(0.1)
                     self.assertEqual(fixture.site.connections, kept)
-                    for _ in range(3):
+                    for i in range(3):
+                        request = builders.caller_request(request_id=b"q%d" % i)
                         outcome = await fixture.forwarder.forward(
-                            builders.caller_request(), route
+                            request, route
                         )
                         self.assertIsInstance(outcome, forward.SingleResult)
                         await trio.sleep(0.1)
--- a/tests/test_forward_link.py
+++ b/tests/test_forward_link.py
@@ -228,6 +228,82 @@
         self.assertEqual([r.status for r in responses], [200])
 
 
+class LateRejectionTest(unittest.TestCase):
+    """Guards against late copies of a rejection that answer another call."""
+
+    _REJECTION = (
+        b"HTTP/1.1 503 Busy\r\nX-Attempt-Id: q1\r\nX-Not-Executed: 1\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+
+    def _forward(self, route: routing.Route) -> tuple[int, int]:
+        """Forwards a request to an endpoint that rejects its first call.
+
+        The endpoint sends a second copy of the rejection when the next request
+        has arrived on the same connection.
+
+        Returns:
+            How often the request ran, and the status that the caller got.
+        """
+        rejections_left = 1
+        runs = 0
+        statuses = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            nonlocal rejections_left, runs
+            copy = b""
+            async with stream:
+                while await stream.receive_some(65536):
+                    if copy:
+                        await stream.send_all(copy)
+                    if rejections_left:
+                        rejections_left -= 1
+                        copy = self._REJECTION
+                        await stream.send_all(copy)
+                        continue
+                    copy = b""
+                    runs += 1
+                    await trio.sleep(0.05)
+                    await stream.send_all(_response(b"q1", b"r" * 16))
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                endpoints = await nursery.start(
+                    functools.partial(
+                        trio.serve_tcp, serve, 0, host="127.0.0.1"
+                    )
+                )
+                port = endpoints[0].socket.getsockname()[1]
+                dialect = _http.PlatformDialect()
+                fixture = builders.ForwarderFixture(
+                    nursery,
+                    [builders.endpoint_entry(address="127.0.0.1", port=port)],
+                    [route],
+                    site=_link.TcpLinkFactory(dialect),
+                )
+                forwarder = forward.Forwarder(
+                    fixture.pool, fixture.budget, dialect, fixture.metrics
+                )
+                outcome = await forwarder.forward(
+                    builders.caller_request(), route
+                )
+                statuses.append(_http.PlatformCodec().render(outcome).status)
+                # A repeat of a request that runs already arrives by then.
+                await trio.sleep(0.1)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+        return runs, statuses[0]
+
+    def test_a_rejected_request_runs_once_and_is_answered(self) -> None:
+        for route in (
+            builders.route(idempotent=False),
+            builders.search_route(["s1"]),
+        ):
+            with self.subTest(route=route.name):
+                self.assertEqual(self._forward(route), (1, 200))
+
+
 class ResponseParserTest(unittest.TestCase):
     """Guards against truncated responses that count as complete."""
 
