Do not answer for changes whose deletions are unknown

Cause: a complete read of the store shows no deletions. A node that had just read it answered peers for all changes since their revision and named its own position as complete. They advanced to it and kept the deleted keys for good.

Ruled out: nodes that hear nothing (later changes arrive), and entries that are kept as lapsed (2.4 s at most).

A mirror now keeps the spans of revisions within which it may lack deletions and answers no request from within them. A node that no peer can answer for 0.5 s fetches the whole contents from one of them. A complete read counts as a change in notices. Reads after a compacted history or a restore, and dropped tombstones, had the same fault and use the same spans.

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -617,10 +617,13 @@
     """
 
     newest: Annotated[
-        int, Meta(description="Greatest revision of an item in the mirror.")
+        int,
+        Meta(
+            description="Greatest revision at which an item of the mirror may have changed."
+        ),
     ]
     """
-    Greatest revision of an item in the mirror.
+    Greatest revision at which an item of the mirror may have changed.
     """
     watch_age_ms: Annotated[
         float,
@@ -651,24 +654,33 @@
     """
 
     after: Annotated[
-        int, Meta(description="The sender's mirror is complete up to this revision.")
+        int,
+        Meta(
+            description="The sender's mirror is complete up to this revision; 0 asks for the whole contents."
+        ),
     ]
     """
-    The sender's mirror is complete up to this revision.
+    The sender's mirror is complete up to this revision; 0 asks for the whole contents.
     """
 
 
 class MirrorChanges(Message):
     """
-    All changes between two revisions.
+    All changes between two revisions, or the whole contents.
     """
 
-    after: int
+    after: Annotated[int, Meta(description="Revision that was asked for.")]
+    """
+    Revision that was asked for.
+    """
     position: Annotated[
-        int, Meta(description="The changes are complete up to this revision.")
+        int,
+        Meta(
+            description="The changes are complete up to this revision; equal to `after` if the peer does not know them all."
+        ),
     ]
     """
-    The changes are complete up to this revision.
+    The changes are complete up to this revision; equal to `after` if the peer does not know them all.
     """
     items: Annotated[
         bytes,
--- a/src/geraniumstair/mirror/_gossip.py
+++ b/src/geraniumstair/mirror/_gossip.py
@@ -3,7 +3,9 @@
 A node whose mirror advances sends its neighbours a notice with the newest
 revision only. A node that is behind requests the changes from one of the nodes
 that notified it, so it receives each change once, however many neighbours it
-has.
+has. A node that has read the whole store does not know which keys were deleted
+before, and can't tell a node that is behind. That node then waits for another
+one that can, and fetches the whole contents if there is none.
 
 A node whose calls the store refuses loses its registration, and other nodes no
 longer select it as a neighbour. The notices that it sends to its own neighbours
@@ -35,6 +37,9 @@
 # A peer that requested notices within this time, which is four notice
 # intervals, receives them even if it is not a neighbour.
 NOTICE_REQUEST_TTL_S = 2.0
+# How long a node that is behind waits for a peer that knows all changes, before
+# it fetches the whole contents. A change reaches most nodes within this time.
+COPY_DELAY_S = 0.5
 # Large enough for a whole mirror with hundreds of endpoints and routes.
 MAX_CHANGES_BYTES = 32 * 1024 * 1024
 
@@ -79,6 +84,9 @@
         self._peer_revisions: dict[str, int] = {}
         # Revision of each peer that notified this node of newer changes.
         self._peers_ahead: dict[str, int] = {}
+        # Peers that are ahead but do not know all changes since the position.
+        self._incomplete_peers: set[str] = set()
+        self._copy_due_s = math.inf
         # Node id to the time of its last request for notices.
         self._notices_requested_s: dict[str, float] = {}
         self._items_changed = trio.Event()
@@ -174,45 +182,83 @@
 
     async def _fetch_loop(self) -> None:
         while True:
-            await self._fetch_needed.wait()
+            with trio.move_on_at(self._copy_due_s):
+                await self._fetch_needed.wait()
             await self._fetch_once()
 
     async def _fetch_once(self) -> None:
         position = self._mirror.position
-        peers_ahead = [
-            n
-            for n, revision in self._peers_ahead.items()
-            if revision > position
-        ]
-        if not peers_ahead:
-            self._peers_ahead.clear()
+        sender = self._pop_peer_ahead(position)
+        after = position
+        if sender is None:
             self._fetch_needed = trio.Event()
-            return
-        sender = peers_ahead[0]
-        del self._peers_ahead[sender]
+            if trio.current_time() < self._copy_due_s:
+                return
+            sender = self._incomplete_peers.pop()
+            self._reset_copy()
+            after = 0
+            _LOG.info(
+                "mirror: fetching the whole contents from %s; no peer knows all "
+                "changes since revision %d",
+                sender,
+                position,
+            )
         reply = await self._network.call(
-            sender, messages.MirrorRequest(after=position), REQUEST_TIMEOUT_MS
+            sender, messages.MirrorRequest(after=after), REQUEST_TIMEOUT_MS
         )
         changes = getattr(reply, "ok_value", None)
-        if not isinstance(changes, messages.MirrorChanges):
+        if isinstance(changes, messages.MirrorChanges):
+            self._apply_changes(sender, changes)
+        else:
             _LOG.debug("mirror: fetching changes from %s failed", sender)
-            return
+
+    def _pop_peer_ahead(self, position: int) -> str | None:
+        """Returns a peer that notified this node of changes it lacks."""
+        while self._peers_ahead:
+            sender = next(iter(self._peers_ahead))
+            if self._peers_ahead.pop(sender) > position:
+                return sender
+        return None
+
+    def _apply_changes(
+        self, sender: str, changes: messages.MirrorChanges
+    ) -> None:
         items = decode_changes(changes)
         if items is None:
             _LOG.warning("mirror: cannot decode the changes from %s", sender)
             return
-        if changes.after <= self._mirror.position:
-            self._mirror.apply(items, changes.position)
+        if changes.after > self._mirror.position:
+            return
+        if not changes.after:
+            advanced = self._mirror.replace(items, changes.position)
+        elif changes.position > changes.after:
+            advanced = self._mirror.apply(items, changes.position)
+        else:
+            self._incomplete_peers.add(sender)
+            due_s = trio.current_time() + COPY_DELAY_S
+            self._copy_due_s = min(self._copy_due_s, due_s)
+            return
+        if advanced:
+            self._reset_copy()
+
+    def _reset_copy(self) -> None:
+        self._incomplete_peers.clear()
+        self._copy_due_s = math.inf
 
 
 def encode_changes(
     mirror: _mirror.Mirror, after: int
 ) -> messages.MirrorChanges:
-    """Encodes the changes after a revision."""
-    rows = [(i.key, i.value, i.revision) for i in mirror.changes_since(after)]
+    """Encodes the changes after a revision; 0 encodes the whole contents.
+
+    If some of the changes are not known, there are none in the message, and its
+    position is the revision that was asked for.
+    """
+    items = mirror.changes_since(after)
+    rows = [(i.key, i.value, i.revision) for i in items or ()]
     return messages.MirrorChanges(
         after=after,
-        position=mirror.position,
+        position=after if items is None else mirror.position,
         items=zlib.compress(msgspec.msgpack.encode(rows), 1),
     )
 
--- a/src/geraniumstair/mirror/_mirror.py
+++ b/src/geraniumstair/mirror/_mirror.py
@@ -13,6 +13,9 @@
 # Deleted keys are kept as tombstones, so that an older value from a peer does
 # not restore them. The limit is far above the number of endpoints and nodes.
 MAX_TOMBSTONES = 20_000
+# Spans of revisions with unknown deletions; beyond this number, the first two
+# are joined.
+MAX_UNKNOWN_SPANS = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,8 +36,8 @@
     Attributes:
         position: Every change up to this revision of the store is held; 0
             before the first complete read.
-        newest_revision: Greatest revision of an item. It lags behind the
-            position when the store changes keys that are not mirrored.
+        newest_revision: Greatest revision at which an item is known to have
+            changed, or may have been deleted.
     """
 
     def __init__(self) -> None:
@@ -42,6 +45,9 @@
         self.newest_revision = 0
         self._items: dict[str, MirrorItem] = {}
         self._subscribers: list[Subscriber] = []
+        # Pairs of revisions between which keys may have been deleted that this
+        # mirror never held, or whose tombstones it has dropped.
+        self._unknown_spans: list[tuple[int, int]] = []
 
     def subscribe(self, subscriber: Subscriber) -> None:
         """Registers a function that is called with the newly changed items."""
@@ -70,14 +76,17 @@
         """Replaces the contents by those of a complete read of the store.
 
         Args:
-            items: All items that the read returned.
+            items: All items that the read returned. They may come from the
+                store or from the mirror of another node.
             position: Revision at which the read began. Keys that are not
                 among the items and have not changed since are deleted.
 
         Returns:
             True if the position has advanced.
         """
-        present_items = list(items)
+        if position <= self.position:
+            return False
+        present_items = [item for item in items if item.value is not None]
         present_keys = {item.key for item in present_items}
         deleted = [
             MirrorItem(key, None, position)
@@ -86,6 +95,8 @@
             and item.value is not None
             and item.revision < position
         ]
+        self._add_unknown_span(self.position, position)
+        self.newest_revision = max(self.newest_revision, position)
         return self.apply([*present_items, *deleted], position)
 
     def get(self, key: str) -> MirrorItem | None:
@@ -101,13 +112,34 @@
             if item.value is not None and key.startswith(prefix)
         ]
 
-    def changes_since(self, revision: int) -> list[MirrorItem]:
-        """Returns the items changed after a revision, deletions included."""
+    def changes_since(self, revision: int) -> list[MirrorItem] | None:
+        """Returns the items changed after a revision, deletions included.
+
+        Args:
+            revision: 0 returns the whole contents.
+
+        Returns:
+            None if some deletions after the revision are not known.
+        """
+        if any(start < revision < end for start, end in self._unknown_spans):
+            return None
         return sorted(
-            (i for i in self._items.values() if i.revision > revision),
+            (
+                item
+                for item in self._items.values()
+                if item.revision > revision
+                and (revision or item.value is not None)
+            ),
             key=lambda item: item.revision,
         )
 
+    def _add_unknown_span(self, start: int, end: int) -> None:
+        spans = [s for s in self._unknown_spans if s[0] < start or s[1] > end]
+        spans.append((start, end))
+        if len(spans) > MAX_UNKNOWN_SPANS:
+            spans[:2] = [(spans[0][0], max(spans[0][1], spans[1][1]))]
+        self._unknown_spans = spans
+
     def _merge(self, items: Iterable[MirrorItem]) -> None:
         newer = []
         for item in items:
@@ -129,5 +161,7 @@
         if len(deleted) <= MAX_TOMBSTONES:
             return
         deleted.sort(key=lambda item: item.revision)
-        for item in deleted[: MAX_TOMBSTONES // 2]:
+        dropped = deleted[: MAX_TOMBSTONES // 2]
+        for item in dropped:
             del self._items[item.key]
+        self._add_unknown_span(0, dropped[-1].revision)
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -575,6 +575,43 @@
         return result.Ok(await handler(self.node_id, request))
 
 
+class MirrorSite:
+    """Nodes that mirror a store, and can be killed and started again.
+
+    Attributes:
+        mirrors: The mirror of each node's last start.
+        networks: The network of each node's last start.
+    """
+
+    def __init__(self, source: FakeStore, names: Sequence[str]) -> None:
+        self.mirrors: dict[str, mirror.Mirror] = {}
+        self.networks: dict[str, FakeNetwork] = {}
+        self._source = source
+        self._names = names
+        self._scopes: dict[str, trio.CancelScope] = {}
+
+    async def run_node(self, name: str) -> None:
+        """Runs a node until it is killed."""
+        network = FakeNetwork(name, self.networks)
+        local_mirror = self.mirrors[name] = mirror.Mirror()
+        selection = mirror.WatcherSelection(name, trio.current_time)
+        selection.set_members(frozenset(self._names))
+        watcher = mirror.StoreWatcher(self._source, local_mirror, selection)
+        gossip = mirror.MirrorGossip(network, local_mirror, watcher, selection)
+        zones = dict.fromkeys(self._names, "z")
+        gossip.set_neighbours(gateway.select_neighbours(name, zones))
+        with trio.CancelScope() as scope:
+            self._scopes[name] = scope
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watcher.run)
+                nursery.start_soon(gossip.run)
+
+    def kill(self, name: str) -> None:
+        """Ends a node and its streams."""
+        self.networks[name].cut = True
+        self._scopes[name].cancel()
+
+
 def server_value(**changes: Any) -> bytes:
     """Returns an entry as an endpoint writes it to the store."""
     fields = {
