--- a/src/geraniumstair/mirror/_gossip.py
+++ b/src/geraniumstair/mirror/_gossip.py
@@ -198,8 +198,8 @@
             self._reset_copy()
             after = 0
             _LOG.info(
-                "mirror: fetching the whole contents from %s; no peer knows all "
-                "changes since revision %d",
+                "mirror: fetching the whole contents from %s; no peer knows "
+                "all changes since revision %d",
                 sender,
                 position,
             )
