Replace streams between nodes that go silent

Cause: a stream that goes silent without an end was dropped 5 s after an unanswered ping, and an idle one was pinged every 30 s. Notices of changes await no answer. With all streams silent, a node learned of changes only when it took over the watch of the store, after 4.4 s with 7 nodes and later with more.

A stream on which nothing arrives for 1 s is pinged; after five unanswered pings the peer is dialed again, and the silent stream is closed once the peer replies on the new one only. A paused peer replies on neither and keeps its stream.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
 import trio
 
 from soak import _faults
+from soak import _leaving
 from soak import _site
 
 CALLER_COUNT = 6
@@ -58,6 +59,31 @@
     }
 
 
+async def _run_leaving_seed(
+    seed: int, nodes: int, directory: pathlib.Path
+) -> dict[str, Any]:
+    rng = random.Random(seed)
+    async with trio.open_nursery() as nursery:
+        site = _site.Site(nursery, rng, directory, nodes)
+        try:
+            await site.start()
+            for caller in site.build_callers(CALLER_COUNT):
+                nursery.start_soon(caller.run)
+            plan = _leaving.LeavingPlan(site, rng)
+            await plan.run()
+        finally:
+            for node in site.nodes:
+                node.kill()
+            nursery.cancel_scope.cancel()
+    return {
+        "seed": seed,
+        "asked": site.tally.asked,
+        "answered": site.tally.answered,
+        "faults": [*site.tally.violations, *plan.violations],
+        "injected": plan.log,
+    }
+
+
 async def _run_with_faults(
     site: _site.Site,
     rng: random.Random,
@@ -152,14 +178,28 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--duration-s", type=float, default=15.0)
     parser.add_argument("--nodes", type=int, default=5)
+    parser.add_argument(
+        "--leaving",
+        action="store_true",
+        help="let endpoints leave, each after one disturbance of the nodes",
+    )
     options = parser.parse_args()
     violated = False
     for seed in range(options.seed, options.seed + options.seeds):
         directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         try:
-            outcome = trio.run(
-                _run_seed, seed, options.duration_s, options.nodes, directory
-            )
+            if options.leaving:
+                outcome = trio.run(
+                    _run_leaving_seed, seed, options.nodes, directory
+                )
+            else:
+                outcome = trio.run(
+                    _run_seed,
+                    seed,
+                    options.duration_s,
+                    options.nodes,
+                    directory,
+                )
         except Exception as error:
             # The logs of the nodes and faults are needed most in this case.
             traceback.print_exc()
--- a/soak/_endpoints.py
+++ b/soak/_endpoints.py
@@ -77,6 +77,7 @@
         service: Name of the service.
         fault: Active fault.
         deregistered: Whether the endpoint has been deregistered.
+        arrivals: Time and request id of each request, on trio's clock.
         limit: The limit that the endpoint states; None without one.
         port: TCP port of the listener; 0 before `run` has bound it.
     """
@@ -92,6 +93,7 @@
         self.service = service
         self.fault = EndpointFault.NONE
         self.deregistered = False
+        self.arrivals: list[tuple[float, str]] = []
         self.limit: _limits.LimitRecord | None = None
         self.port = 0
         self._run_log = run_log
@@ -131,6 +133,7 @@
         expected_id = request.headers.get(b"x-expected-instance", b"").decode()
         if expected_id != self.endpoint_id:
             return lean_http.HttpResponse(421, [], b"")
+        self.arrivals.append((trio.current_time(), request_id))
         if self.limit is not None:
             self.limit.arrivals.append((trio.current_time(), request_id))
         # An active fault affects about half of the requests.
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -1,6 +1,8 @@
 """A TCP proxy on loopback that can delay, drop and reset traffic."""
 
+import dataclasses
 import enum
+import random
 
 import trio
 
@@ -24,6 +26,20 @@
     ONE_WAY = "one_way"
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _Relay:
+    """One connection through a proxy.
+
+    Attributes:
+        scope: Closes the connection when it is cancelled.
+        silent: The bytes of both directions are dropped until the end of the
+            connection.
+    """
+
+    scope: trio.CancelScope
+    silent: bool = False
+
+
 class Proxy:
     """Forwards TCP connections to one port on loopback.
 
@@ -36,12 +52,27 @@
         self.fault = ProxyFault.NONE
         self.port = 0
         self._target_port = target_port
-        self._connection_scopes: set[trio.CancelScope] = set()
+        self._relays: set[_Relay] = set()
 
     def reset(self) -> None:
         """Closes all connections at once."""
-        for scope in list(self._connection_scopes):
-            scope.cancel()
+        for relay in list(self._relays):
+            relay.scope.cancel()
+
+    def silence_open_connections(self, share: float, rng: random.Random) -> int:
+        """Drops all later bytes of some connections, but of no new ones.
+
+        Args:
+            share: Share of the connections, 0 to 1.
+            rng: Chooses them.
+
+        Returns:
+            The number of connections that went silent.
+        """
+        chosen = [r for r in self._relays if rng.random() < share]
+        for relay in chosen:
+            relay.silent = True
+        return len(chosen)
 
     async def run(
         self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
@@ -53,42 +84,44 @@
         await trio.serve_listeners(self._serve, listeners)
 
     async def _serve(self, client: trio.SocketStream) -> None:
-        scope = trio.CancelScope()
-        self._connection_scopes.add(scope)
+        relay = _Relay(trio.CancelScope())
+        self._relays.add(relay)
         try:
-            with scope:
-                await self._relay(client)
+            with relay.scope:
+                await self._relay(client, relay)
         except OSError:
             # The target is not listening, so the proxy closes the connection.
             pass
         finally:
-            self._connection_scopes.discard(scope)
+            self._relays.discard(relay)
             await trio.aclose_forcefully(client)
 
-    async def _relay(self, client: trio.SocketStream) -> None:
+    async def _relay(self, client: trio.SocketStream, relay: _Relay) -> None:
         server = await trio.open_tcp_stream("127.0.0.1", self._target_port)
         async with server, trio.open_nursery() as nursery:
-            nursery.start_soon(self._copy_bytes, client, server, True, nursery)
-            nursery.start_soon(self._copy_bytes, server, client, False, nursery)
+            nursery.start_soon(self._copy_bytes, client, server, True, relay)
+            nursery.start_soon(self._copy_bytes, server, client, False, relay)
 
     async def _copy_bytes(
         self,
         source: trio.SocketStream,
         target: trio.SocketStream,
         to_target: bool,
-        nursery: trio.Nursery,
+        relay: _Relay,
     ) -> None:
         try:
             async for data in source:
                 if self.fault is ProxyFault.DELAY:
                     await trio.sleep(DELAY_S)
-                drops_all = self.fault is ProxyFault.SILENCE
-                if drops_all or (
-                    self.fault is ProxyFault.ONE_WAY and not to_target
-                ):
+                if self._drops_bytes(to_target, relay):
                     continue
                 await target.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # One side has closed the connection.
             pass
-        nursery.cancel_scope.cancel()
+        relay.scope.cancel()
+
+    def _drops_bytes(self, to_target: bool, relay: _Relay) -> bool:
+        if relay.silent or self.fault is ProxyFault.SILENCE:
+            return True
+        return self.fault is ProxyFault.ONE_WAY and not to_target
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -21,6 +21,7 @@
 SHUTDOWN_GRACE_S = 6.0
 READY_TIMEOUT_S = 20.0
 READY_PATH = "/api/readiness"
+STATE_PATH = "/state"
 
 
 class Node:
@@ -99,6 +100,12 @@
             {**os.environ, "GERANIUMSTAIR_BOOT": str(path)},
         )
 
+    async def is_watching(self) -> bool:
+        """Returns whether the node waits for changes at the store."""
+        reply = await _get(self.ports[3], STATE_PATH)
+        body = reply.partition(b"\r\n\r\n")[2]
+        return bool(body and json.loads(body)["mirror"]["watching"])
+
     def record_disturbance(self, from_s: float, to_s: float) -> None:
         """Records a period in which requests may be lost."""
         self.disturbances.append((from_s, to_s))
@@ -229,8 +236,16 @@
         self, endpoint: _endpoints.SimulatedEndpoint
     ) -> None:
         """Marks an endpoint as draining, then deregisters it."""
-        self._register(endpoint, ZONES[0], "draining")
+        self.drain(endpoint)
         await trio.sleep(3.5)
+        self.deregister(endpoint)
+
+    def drain(self, endpoint: _endpoints.SimulatedEndpoint) -> None:
+        """Marks an endpoint as draining; it serves on."""
+        self._register(endpoint, ZONES[0], "draining")
+
+    def deregister(self, endpoint: _endpoints.SimulatedEndpoint) -> None:
+        """Removes the entry of an endpoint; it serves on."""
         self.store.delete(f"servers/{endpoint.endpoint_id}")
         endpoint.deregistered = True
 
@@ -248,7 +263,7 @@
                 "Slots": 2,
                 "State": state,
                 "WarmupLeftMs": 0,
-                "Seq": 1,
+                "Seq": 1 + (state == "draining"),
                 "born": 1,
             },
         )
@@ -314,13 +329,20 @@
 
 
 async def _is_ready(port: int) -> bool:
-    request = f"GET {READY_PATH} HTTP/1.1\r\nhost: x\r\n\r\n".encode()
+    return b" 200 " in (await _get(port, READY_PATH))[:100]
+
+
+async def _get(port: int, path: str) -> bytes:
+    """Returns the whole response; empty if the port can't be reached."""
+    request = f"GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+    response = b""
     with trio.move_on_after(1.0):
         try:
             stream = await trio.open_tcp_stream("127.0.0.1", port)
             async with stream:
-                await stream.send_all(request)
-                return b" 200 " in await stream.receive_some(100)
+                await stream.send_all(request.encode())
+                async for data in stream:
+                    response += data
         except OSError:
-            return False
-    return False
+            return b""
+    return response
--- a/src/geraniumstair/peers/_connection.py
+++ b/src/geraniumstair/peers/_connection.py
@@ -22,7 +22,12 @@
 # A peer that sends nothing for this time, although it is pinged, is unreachable
 # or has stopped. Only a new stream can show which.
 DEAD_STREAM_TIMEOUT_MS = 5000.0
-IDLE_PING_INTERVAL_MS = 30000.0
+# A stream on which nothing is received for this time is pinged.
+IDLE_PING_INTERVAL_MS = 1000.0
+# A stream is silent after this number of pings without any message from the
+# peer. Counting pings, not time, leaves out the time in which this process did
+# not run.
+SILENT_AFTER_PINGS = 5
 SEND_QUEUE_LIMIT_BYTES = 4 * 1024 * 1024
 ONE_WAY_QUEUE_LIMIT = 1024
 MAX_INBOUND_CALLS = 4096
@@ -97,6 +102,9 @@
         self._ping_requested = trio.Event()
         self._received = trio.Event()
         self._last_received_s = trio.current_time()
+        # Pings sent since the last message from the peer.
+        self._unanswered_pings = 0
+        self._became_silent = trio.Event()
         # Time since when a message from the peer is expected; None if none is.
         self._expecting_message_since_s: float | None = None
         self._scope = trio.CancelScope()
@@ -114,6 +122,16 @@
         """True if no call is in progress in either direction."""
         return not self._pending_calls and not self._inbound_call_count
 
+    @property
+    def silent(self) -> bool:
+        """True if the peer does not reply to pings on this stream."""
+        return self._unanswered_pings >= SILENT_AFTER_PINGS
+
+    async def wait_silent(self) -> None:
+        """Waits until the peer does not reply to pings on this stream."""
+        while not self.silent:
+            await self._became_silent.wait()
+
     @property
     def replies_written(self) -> bool:
         """True if the replies to all calls of the peer have been written."""
@@ -299,10 +317,17 @@
 
     async def _ping_loop(self) -> None:
         while True:
-            with trio.move_on_after(IDLE_PING_INTERVAL_MS / 1000):
+            idle_until_s = self._last_received_s + IDLE_PING_INTERVAL_MS / 1000
+            with trio.move_on_at(idle_until_s):
                 await self._ping_requested.wait()
-            self._expect_message()
             self._ping_requested = trio.Event()
+            if self._expecting_message_since_s is None:
+                if self._last_received_s + IDLE_PING_INTERVAL_MS / 1000 > (
+                    trio.current_time()
+                ):
+                    continue
+                self._expect_message()
+                self._send_counted_ping()
             await self._ping_while_expecting_message()
 
     async def _ping_while_expecting_message(self) -> None:
@@ -316,11 +341,17 @@
                 )
                 self.close()
                 return
+            if self.silent:
+                self._became_silent.set()
             if (
                 self._pending_calls
                 or self._expecting_message_since_s is not None
             ):
-                self.ping()
+                self._send_counted_ping()
+
+    def _send_counted_ping(self) -> None:
+        self._unanswered_pings += 1
+        self.ping()
 
     async def _read_loop(self, nursery: trio.Nursery) -> None:
         while True:
@@ -338,6 +369,9 @@
 
     def _record_receipt(self) -> None:
         self._last_received_s = trio.current_time()
+        self._unanswered_pings = 0
+        if self._became_silent.is_set():
+            self._became_silent = trio.Event()
         self._received.set()
         self._received = trio.Event()
         if not self._pending_calls:
--- a/src/geraniumstair/peers/_network.py
+++ b/src/geraniumstair/peers/_network.py
@@ -23,6 +23,12 @@
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 5.0
 DUPLICATE_CLOSE_DELAY_S = 5.0
+# Of two nodes whose stream is silent, the one with the greater id dials only
+# after this delay.
+SECOND_REPLACE_DELAY_S = 0.3
+# A peer that replies on a new stream has this time to reply on the silent one
+# as well, before the silent one is closed.
+SILENT_CLOSE_DELAY_S = 0.25
 REPLIES_CHECK_INTERVAL_S = 0.01
 MAX_CONCURRENT_HANDSHAKES = 256
 
@@ -54,15 +60,21 @@
         """Returns the connection to use, or None.
 
         Both ends make the same choice: connections dialed by the node with the
-        smaller id come first, and the newest of them is chosen.
+        smaller id come first, and the newest of them is chosen. Silent ones are
+        used only if all are silent.
         """
         usable = [c for c in self.connections if not c.closed]
+        usable = [c for c in usable if not c.silent] or usable
         if not usable:
             return None
         should_dial = own_id < usable[0].peer_id
         matching = [c for c in usable if c.dialed == should_dial]
         return (matching or usable)[-1]
 
+    def has_responsive_connection(self) -> bool:
+        """Returns whether the peer answers on one of the connections."""
+        return any(not c.closed and not c.silent for c in self.connections)
+
 
 class PeerNetwork:
     """Accepts and dials peers, and exchanges messages with them.
@@ -412,6 +424,7 @@
         peer = self._get_or_add_peer(connection.peer_id)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._close_duplicate_loop, peer, connection)
+            nursery.start_soon(self._replace_silent_loop, peer, connection)
             try:
                 await connection.run()
             finally:
@@ -422,6 +435,39 @@
                     peer.disconnected = trio.Event()
                 nursery.cancel_scope.cancel()
 
+    async def _replace_silent_loop(
+        self, peer: _Peer, connection: _connection.Connection
+    ) -> None:
+        """Dials a peer whose stream is silent, as a stream may fail alone.
+
+        The silent stream is closed only when the peer has replied on another
+        one, because a peer that is paused replies on neither.
+        """
+        peer_id = connection.peer_id
+        backoff = _Backoff(self._rng)
+        while True:
+            await connection.wait_silent()
+            if peer.has_responsive_connection():
+                await trio.sleep(SILENT_CLOSE_DELAY_S)
+                if connection.silent and peer.has_responsive_connection():
+                    _LOG.warning(
+                        "peers: closing a silent stream to %s: the peer "
+                        "replies on another one",
+                        peer_id,
+                    )
+                    connection.close()
+                    return
+                continue
+            if self._identity.node_id > peer_id:
+                await trio.sleep(SECOND_REPLACE_DELAY_S)
+                if peer.has_responsive_connection():
+                    continue
+            address = self._addresses.get(peer_id)
+            if address is not None:
+                await self._dial(address, expected_node_id=peer_id)
+            if not peer.has_responsive_connection():
+                await backoff.sleep()
+
     async def _close_duplicate_loop(
         self, peer: _Peer, connection: _connection.Connection
     ) -> None:
--- a/tests/memory_transport.py
+++ b/tests/memory_transport.py
@@ -30,6 +30,8 @@
     def __init__(self) -> None:
         self._listeners: dict[int, _MemoryListener] = {}
         self._streams: list[tuple[int, int, trio.StapledStream[Any, Any]]] = []
+        # The send streams of silent streams, with the hooks that deliver.
+        self._silenced: list[tuple[Any, Any]] = []
         self._cut_pairs: set[frozenset[int]] = set()
 
     def transport(self, port: int) -> "MemoryTransport":
@@ -47,6 +49,26 @@
         """Accepts new streams between two nodes again."""
         self._cut_pairs.discard(frozenset((one, other)))
 
+    def silence(self, one: int, other: int) -> None:
+        """Holds back all bytes of the open streams between two nodes."""
+        for a, b, stream in self._streams:
+            if {a, b} == {one, other}:
+                sender = stream.send_stream
+                hooks = sender.send_all_hook, sender.close_hook
+                self._silenced.append((sender, hooks))
+                sender.send_all_hook = sender.close_hook = None
+
+    def resume(self) -> None:
+        """Delivers the bytes that were held back."""
+        for sender, hooks in self._silenced:
+            sender.send_all_hook, sender.close_hook = hooks
+            trio.lowlevel.spawn_system_task(sender.send_all_hook)
+        self._silenced.clear()
+
+    def refuse(self, one: int, other: int) -> None:
+        """Refuses new streams between two nodes; open ones remain."""
+        self._cut_pairs.add(frozenset((one, other)))
+
     def open_stream(self, source: int, port: int) -> trio.abc.Stream:
         """Returns a new stream to a listener.
 
@@ -62,7 +84,7 @@
             listener.sender.send_nowait(far)
         except (trio.BrokenResourceError, trio.WouldBlock) as error:
             raise OSError("connection refused") from error
-        self._streams.append((source, port, near))
+        self._streams += [(source, port, near), (port, source, far)]
         return near
 
     def add_listener(self, port: int) -> _MemoryListener:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -238,6 +238,58 @@
 
         run_with_mock_clock(test)
 
+    def test_a_silent_stream_is_replaced_in_time(self) -> None:
+        # Streams went silent while new ones worked. Nodes learned of a change
+        # of the routes ten seconds later, and of endpoints that had left.
+        async def test() -> None:
+            async with connect_pair() as (memory, a, b):
+                received = []
+
+                async def record(sender: str, message: Any) -> None:
+                    received.append(message.search_id)
+
+                b.register_handler(messages.CancelSearch, record)
+                b.register_handler(messages.ClaimRequest, echo)
+                memory.silence(1, 2)
+                await trio.sleep(2.0)
+                a.send("b", messages.CancelSearch(b"1"))
+                await trio.sleep(0.1)
+                self.assertEqual(received, [b"1"])
+                await trio.sleep(10)
+                for network, peer in ((a, "b"), (b, "a")):
+                    self.assertEqual(len(network._peers[peer].connections), 1)
+                # The same while a call is in progress.
+                memory.silence(1, 2)
+                call = messages.ClaimRequest(b"1", 1)
+                started_s = trio.current_time()
+                failed = await a.call("b", call, 5000)
+                self.assertTrue(failed.unwrap_err().sent)
+                self.assertLess(trio.current_time() - started_s, 2.0)
+                (await a.call("b", call, 100)).unwrap()
+
+        run_with_mock_clock(test)
+
+    def test_the_stream_of_a_paused_peer_is_kept(self) -> None:
+        # A paused peer answers on no stream. Its work must not be given up.
+        async def test() -> None:
+            async with connect_pair() as (memory, a, b):
+                b.register_handler(messages.ClaimRequest, echo)
+                memory.silence(1, 2)
+                memory.refuse(1, 2)
+                replies = []
+
+                async def call() -> None:
+                    request = messages.ClaimRequest(b"1", 1)
+                    replies.append(await a.call("b", request, 9000))
+
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(call)
+                    await trio.sleep(4)
+                    memory.resume()
+                self.assertEqual(replies[0].unwrap().outcome, b"1")
+
+        run_with_mock_clock(test)
+
     def test_peer_stays_responsive_during_a_long_call(self) -> None:
         async def test() -> None:
             async with connect_pair() as (_memory, a, b):
