Close idle connections to the store after a timeout

Cause: a call without an answer closed its own connection only. The next call took another idle one, which was silent as well, and waited for its whole timeout again; so did the nodes that took over the watch.

Ruled out: the length of one timeout, which ends before the site counts the node as connected again.

After a call without an answer, the idle connections are closed, and the next call opens a new one.

Evidence: SilentConnectionTest fails without the change (the second call times out).

--- a/src/geraniumstair/store/_connection.py
+++ b/src/geraniumstair/store/_connection.py
@@ -20,6 +20,8 @@
 # many values.
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 _ERROR_DETAIL_BYTES = 200
+_TIMEOUT_DETAIL = "timeout"
+_CLOSE_TIMEOUT_S = 0.1
 _HTTP_ERRORS = (
     httpcore.NetworkError,
     httpcore.TimeoutException,
@@ -278,7 +280,7 @@
             if repeatable
             else deadline_s
         )
-        detail = "timeout"
+        detail = _TIMEOUT_DETAIL
         with trio.move_on_at(attempt_deadline_s):
             try:
                 async with self.pool.stream(
@@ -293,22 +295,34 @@
                     )
             except _HTTP_ERRORS as error:
                 detail = f"{type(error).__name__}: {error}"
+        if detail == _TIMEOUT_DETAIL:
+            await self._close_idle_connections()
         return _build_failure(trace.effect, detail)
 
+    async def _close_idle_connections(self) -> None:
+        """Closes idle connections after a call got no answer.
+
+        They may be silent like the one of that call, and each later call would
+        wait for its whole timeout to find it out.
+        """
+        with trio.move_on_after(_CLOSE_TIMEOUT_S):
+            for connection in self.pool.connections:
+                if connection.is_idle():
+                    await connection.aclose()
+
 
 async def _read_reply(
     response: httpcore.Response, not_executed_statuses: frozenset[int]
 ) -> result.Result[Reply, CallFailure]:
-    chunks = []
-    size_bytes = 0
+    # A list of small chunks would take many times their size.
+    received = bytearray()
     async for chunk in response.aiter_stream():
-        size_bytes += len(chunk)
-        if size_bytes > MAX_REPLY_BYTES:
+        received += chunk
+        if len(received) > MAX_REPLY_BYTES:
             return _build_failure(
                 _protocol.Effect.UNKNOWN, "the reply is too large"
             )
-        chunks.append(chunk)
-    body = b"".join(chunks)
+    body = bytes(received)
     if response.status == 200:
         return result.Ok(Reply(body, response.headers))
     text = body[:_ERROR_DETAIL_BYTES].decode(errors="replace")
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,11 +2,13 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import functools
 import json
 import logging
 import unittest
 
 import httpcore
+import result
 import trio
 import trio.testing
 
@@ -281,6 +283,59 @@
         trio.run(main)
 
 
+class SilentConnectionTest(unittest.TestCase):
+    """Guards against calls that wait on connections which went silent."""
+
+    def test_a_call_after_a_timeout_uses_no_earlier_connection(self) -> None:
+        # All open connections to the store went silent while new ones worked.
+        # Each idle one cost another timeout, and nodes learned of endpoints
+        # that left only after four seconds.
+        connections = []
+        silent = set()
+
+        async def serve(stream: trio.SocketStream) -> None:
+            connections.append(stream)
+            async with stream:
+                while await stream.receive_some(65536):
+                    if stream in silent:
+                        await trio.sleep_forever()
+                    await trio.sleep(0.05)
+                    await stream.send_all(
+                        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
+                    )
+
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(
+                    functools.partial(
+                        trio.serve_tcp, serve, 0, host="127.0.0.1"
+                    )
+                )
+                port = listeners[0].socket.getsockname()[1]
+                connection = store.StoreConnection(
+                    [f"http://127.0.0.1:{port}"],
+                    timeout_ms=300,
+                    max_concurrency=8,
+                    metrics=store.StoreMetrics(),
+                )
+
+                async def call() -> bool:
+                    reply = await connection.send_request(
+                        "get", "/x", b"", repeatable=True, method="GET"
+                    )
+                    return isinstance(reply, result.Ok)
+
+                async with trio.open_nursery() as calls:
+                    for _ in range(3):
+                        calls.start_soon(call)
+                self.assertEqual(len(connections), 3)
+                silent.update(connections)
+                self.assertEqual([await call(), await call()], [False, True])
+                nursery.cancel_scope.cancel()
+
+        trio.run(test)
+
+
 class ControlTest(unittest.TestCase):
     """Guards the stand-in's control path, which process tests use."""
 
