Collect bodies in one buffer

Another operator reported a backend that sent bytes without end until the memory of the calling machine was full.

Cause here: the limits of bodies (16 MB a connection, 48 MB a process) count their bytes, but each chunk was kept as an object of its own. In chunks of two bytes, a body takes 21.6 bytes of memory for each byte, 345 MB at the limit of a connection.

Ruled out: heads, framing, trailers and interim answers, which end at 32 kB, as the review and the existing tests show.

The parser now collects a body in one buffer.

Evidence: the new test measured 10.8 MB for 500,000 bytes before; it allows 1.5 MB and passes.

Conclusion: fixed. Not played until a process runs out of memory.

--- a/src/geraniumstair/endpoint_http/_response.py
+++ b/src/geraniumstair/endpoint_http/_response.py
@@ -62,8 +62,8 @@
 
     def _reset(self) -> None:
         self._fields: list[tuple[bytes, bytes]] = []
-        self._chunks: list[bytes] = []
-        self._body_bytes = 0
+        # One buffer, because each small chunk would take many times its size.
+        self._body = bytearray()
         self._body_grew = False
         self._framing_bytes = 0
         self._trailer_bytes = 0
@@ -139,12 +139,12 @@
 
     def drop(self) -> None:
         """Discards the body received so far; the next bytes are refused."""
-        self._chunks.clear()
+        self._body.clear()
         self._dropped = True
 
     def close(self) -> None:
         """Frees what is buffered; call it when the connection has closed."""
-        self._chunks.clear()
+        self._body.clear()
         self._buffer_limit.release(self)
 
     def finish(self) -> Response | None:
@@ -165,7 +165,7 @@
         response = Response(
             self._parser.get_status_code(),
             self._fields,
-            b"".join(self._chunks),
+            bytes(self._body),
         )
         self._reset()
         self._unfinished_bytes = 0
@@ -194,12 +194,12 @@
 
     def on_body(self, body: bytes) -> None:
         """Called when a part of the body has arrived."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._max_body_bytes:
+        body_bytes = len(self._body) + len(body)
+        if body_bytes > self._max_body_bytes:
             raise InvalidResponse("the response is too large")
         self._body_grew = True
-        self._chunks.append(body)
-        self._buffer_limit.record(self, self._body_bytes)
+        self._body += body
+        self._buffer_limit.record(self, body_bytes)
         if self._dropped:
             raise InvalidResponse("too many bytes of responses are buffered")
 
--- a/src/geraniumstair/gateway/_application.py
+++ b/src/geraniumstair/gateway/_application.py
@@ -336,20 +336,18 @@
     head: RequestHead, receive: Receive, max_body_bytes: int
 ) -> bytes | None:
     """Returns the body; None if the request has none."""
-    chunks = []
-    size_bytes = 0
+    # A list of small chunks would take many times their size.
+    received = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise _CallerDisconnected
-        chunk = message.get("body", b"")
-        size_bytes += len(chunk)
-        if size_bytes > max_body_bytes:
+        received += message.get("body", b"")
+        if len(received) > max_body_bytes:
             raise _BodyTooLarge
-        chunks.append(chunk)
         if not message.get("more_body", False):
             break
-    body = b"".join(chunks)
+    body = bytes(received)
     names = {name for name, _ in head.headers}
     if b"content-length" in names or b"transfer-encoding" in names:
         return body
--- a/tests/test_endpoint_http_response.py
+++ b/tests/test_endpoint_http_response.py
@@ -1,5 +1,6 @@
 """Tests of the parser of endpoint responses."""
 
+import tracemalloc
 import unittest
 
 from geraniumstair import endpoint_http
@@ -120,6 +121,23 @@
             responses += parser.parse_all(data[at : at + 4096])
         self.assertEqual(len(responses[0].body), 20_000)
 
+    def test_a_body_in_small_chunks_takes_no_more_memory(self) -> None:
+        # Each chunk was kept as an object of 50 bytes. An endless body in
+        # chunks of two bytes filled the memory long before its limit.
+        parser = endpoint_http.ResponseParser(10**7)
+        parser.parse_all(self._CHUNKED)
+        piece = b"2\r\nxx\r\n" * 5000
+        body_bytes = 0
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        while body_bytes < 500_000:
+            parser.parse_all(piece)
+            body_bytes += 10_000
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        # Room for a larger buffer while it grows.
+        self.assertLess(peak_bytes, 3 * body_bytes)
+        parser.close()
+
     def test_trailers_do_not_replace_headers(self) -> None:
         parser = endpoint_http.ResponseParser(100)
         head = self._CHUNKED.replace(b"\r\n\r\n", b"\r\nx-a: 1\r\n\r\n")
