Do not suspect requests whose content was just answered

Cause: an end counts against the content of each request that the endpoint runs, whatever other endpoints have answered to the same content.

A node remembers the content of answered requests, 2,000 at most, and records no end against what was answered in the last 5 s. A request that crashes what it reaches is not answered, so the limit of two endpoints still holds for it.

Evidence: test_content_that_was_answered_is_not_refused failed before; the other tests of such requests pass unchanged.

Conclusion: fixed.

--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -138,6 +138,8 @@
         _report.report_request(
             self._context.metrics, request, route, result, handler
         )
+        if _result.is_answered(result):
+            self._context.suspects.record_answer(request)
         return result
 
     def _is_most_urgent(self, route: routing.Route) -> bool:
--- a/src/geraniumstair/forward/_result.py
+++ b/src/geraniumstair/forward/_result.py
@@ -59,3 +59,10 @@
 
 
 ForwardResult = Refused | SearchResult | SingleResult
+
+
+def is_answered(result: ForwardResult) -> bool:
+    """Returns whether endpoints answered the request without a failure."""
+    if isinstance(result, SingleResult):
+        return result.reply.outcome is _call.Outcome.ANSWERED
+    return isinstance(result, SearchResult)
--- a/src/geraniumstair/forward/_suspects.py
+++ b/src/geraniumstair/forward/_suspects.py
@@ -5,6 +5,9 @@
 other nodes. So all nodes remember such requests for some time, and do not send
 them any more. Meanwhile, searches of the same route are tried on one endpoint
 first: those that crash it reach no other one.
+
+A request with the same content as one that was answered a short time ago does
+not crash endpoints. Endpoints that end under it end for other reasons.
 """
 
 from collections.abc import Callable
@@ -30,6 +33,11 @@
 # How long searches of a route are tried on one endpoint first.
 TRIAL_S = 10.0
 MAX_REQUESTS = 1000
+# A request is not suspected if the same content was answered within this time.
+# Endpoints with another version may crash under what earlier ones answered.
+ANSWER_VALID_S = 5.0
+# Contents of answered requests that a node remembers.
+MAX_ANSWERED = 2000
 
 
 class Network(Protocol):
@@ -91,6 +99,8 @@
         # In the order in which they are forgotten.
         self._suspects: dict[bytes, _Suspect] = {}
         self._trial_until_s: dict[str, float] = {}
+        # Times of the last answers, in their order.
+        self._answered_s: dict[bytes, float] = {}
         if network is not None:
             network.register_handler(messages.EndReport, self._on_report)
 
@@ -106,6 +116,21 @@
         """Returns whether searches of a route are tried on one endpoint."""
         return self._clock() < self._trial_until_s.get(route, 0.0)
 
+    def record_answer(self, request: _call.CallerRequest) -> None:
+        """Records that endpoints have answered a request."""
+        key = compute_key(request)
+        self._answered_s.pop(key, None)
+        self._answered_s[key] = self._clock()
+        if len(self._answered_s) > MAX_ANSWERED:
+            del self._answered_s[next(iter(self._answered_s))]
+
+    def _was_answered(self, key: bytes) -> bool:
+        answered_s = self._answered_s.get(key)
+        return (
+            answered_s is not None
+            and self._clock() < answered_s + ANSWER_VALID_S
+        )
+
     def report_ends(
         self, request: _call.CallerRequest, route: str, endpoints: Set[str]
     ) -> None:
@@ -151,6 +176,13 @@
 
     def _record(self, key: bytes, route: str, endpoint: str) -> None:
         now_s = self._clock()
+        if self._was_answered(key):
+            _LOG.info(
+                "forward: a request is not suspected of ending an endpoint; "
+                "the same content was answered before",
+                extra=observe.fields(route=route, endpoint=endpoint),
+            )
+            return
         known = self._find(key)
         endpoints = known.endpoints if known is not None else set()
         endpoints.add(endpoint)
--- a/tests/test_forward_suspects.py
+++ b/tests/test_forward_suspects.py
@@ -236,6 +236,41 @@
 
         builders.run_on_virtual_clock(test)
 
+    def test_content_that_was_answered_is_not_refused(self) -> None:
+        # All callers sent the same request, and two endpoints were stopped at
+        # the same time. The request was refused for 30 s.
+        async def test(nursery: trio.Nursery) -> None:
+            route = builders.route(parts=(builders.split_part("s0"),))
+            nodes = _Nodes(nursery, [route])
+            nodes.site.behaviour("x0").delay_s = 0.05
+            nodes.site.behaviour("y0").delay_s = 0.05
+            first = await nodes.ask(0, builders.caller_request(), route)
+            self.assertIsInstance(first, forward.SingleResult)
+
+            async def ask() -> None:
+                await nodes.ask(0, builders.caller_request(), route)
+
+            for _ in range(4):
+                nursery.start_soon(ask)
+            await trio.sleep(0.02)
+            for endpoint_id in ("x0", "y0"):
+                nodes.site.crash(endpoint_id)
+            await trio.sleep(0.5)
+            self.assertFalse(
+                nodes.fixtures[0].forwarder._context.suspects.is_blocked(
+                    builders.caller_request()
+                )
+            )
+            # After some time, endpoints that end count again.
+            await trio.sleep(5)
+            suspects = nodes.fixtures[0].forwarder._context.suspects
+            suspects.report_ends(
+                builders.caller_request(), route.name, {"x0@1", "y0@1"}
+            )
+            self.assertTrue(suspects.is_blocked(builders.caller_request()))
+
+        builders.run_on_virtual_clock(test)
+
 
 if __name__ == "__main__":
     unittest.main()
