Ping idle streams only where notices are expected

Since silent streams are replaced, each idle stream was pinged every second. A node that calls shards for others has a stream from every node of the site, most of them idle: 195 pings and answers a second on the large site, which only confirm what the next call on the stream shows within 0.6 s.

Streams on which one-way messages arrive, such as notices of changes, are pinged after 1 s without any message; others after 30 s, as before. A stream with a call in progress is pinged as before.

Ruled out: a longer interval for all streams, which would find silent notices later than the site allows.

Evidence: the test of silent streams sends notices first, as nodes do, and passes; it still fails on the streams as they were before. No figure was measured for the pings saved.

--- a/src/geraniumstair/peers/_connection.py
+++ b/src/geraniumstair/peers/_connection.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 import dataclasses
 import logging
+import math
 
 import result
 import trio
@@ -23,7 +24,10 @@
 # or has stopped. Only a new stream can show which.
 DEAD_STREAM_TIMEOUT_MS = 5000.0
 # A stream on which nothing is received for this time is pinged.
-IDLE_PING_INTERVAL_MS = 1000.0
+IDLE_PING_INTERVAL_MS = 30000.0
+# The same for a stream on which one-way messages arrive, such as notices of
+# changes. Nothing else shows that they stay away.
+ONE_WAY_PING_INTERVAL_MS = 1000.0
 # A stream is silent after this number of pings without any message from the
 # peer. Counting pings, not time, leaves out the time in which this process did
 # not run.
@@ -102,6 +106,7 @@
         self._ping_requested = trio.Event()
         self._received = trio.Event()
         self._last_received_s = trio.current_time()
+        self._last_one_way_s = -math.inf
         # Pings sent since the last message from the peer.
         self._unanswered_pings = 0
         self._became_silent = trio.Event()
@@ -317,19 +322,25 @@
 
     async def _ping_loop(self) -> None:
         while True:
-            idle_until_s = self._last_received_s + IDLE_PING_INTERVAL_MS / 1000
-            with trio.move_on_at(idle_until_s):
+            with trio.move_on_at(self._next_idle_ping_s()):
                 await self._ping_requested.wait()
             self._ping_requested = trio.Event()
             if self._expecting_message_since_s is None:
-                if self._last_received_s + IDLE_PING_INTERVAL_MS / 1000 > (
-                    trio.current_time()
-                ):
+                if self._next_idle_ping_s() > trio.current_time():
                     continue
                 self._expect_message()
                 self._send_counted_ping()
             await self._ping_while_expecting_message()
 
+    def _next_idle_ping_s(self) -> float:
+        one_way_age_s = self._last_received_s - self._last_one_way_s
+        interval_ms = (
+            ONE_WAY_PING_INTERVAL_MS
+            if one_way_age_s * 1000 < ONE_WAY_PING_INTERVAL_MS
+            else IDLE_PING_INTERVAL_MS
+        )
+        return self._last_received_s + interval_ms / 1000
+
     async def _ping_while_expecting_message(self) -> None:
         while self._expecting_message_since_s is not None:
             await trio.sleep(PING_INTERVAL_MS / 1000)
@@ -392,6 +403,7 @@
             if message.answer:
                 self.send(messages.Ping(answer=False))
         else:
+            self._record_one_way()
             try:
                 self._one_way_sender.send_nowait(message)
             except trio.WouldBlock:
@@ -400,6 +412,13 @@
                     self.peer_id,
                 )
 
+    def _record_one_way(self) -> None:
+        earlier_s = self._last_one_way_s
+        self._last_one_way_s = now_s = trio.current_time()
+        if (now_s - earlier_s) * 1000 >= ONE_WAY_PING_INTERVAL_MS:
+            # Shortens the wait until the next idle ping.
+            self._ping_requested.set()
+
     def _handle_reply(self, message: messages.Return) -> None:
         pending = self._pending_calls.get(message.call_id)
         if pending is None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -248,8 +248,14 @@
                 async def record(sender: str, message: Any) -> None:
                     received.append(message.search_id)
 
+                a.register_handler(messages.CancelSearch, record)
                 b.register_handler(messages.CancelSearch, record)
                 b.register_handler(messages.ClaimRequest, echo)
+                # Notices arrive all the time.
+                a.send("b", messages.CancelSearch(b"0"))
+                b.send("a", messages.CancelSearch(b"0"))
+                await trio.sleep(0.1)
+                received.clear()
                 memory.silence(1, 2)
                 await trio.sleep(2.0)
                 a.send("b", messages.CancelSearch(b"1"))
