Share the set-up of soak runs and of link tests

The runs of the soak and two tests of connections to endpoints set up the same things in the same lines.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,8 @@
 """
 
 import argparse
+from collections.abc import AsyncIterator
+import contextlib
 import json
 import pathlib
 import random
@@ -27,24 +29,33 @@
 FAULT_LOG_NAME = "faults.log"
 
 
-async def _run_seed(
-    seed: int, duration_s: float, nodes: int, directory: pathlib.Path
-) -> dict[str, Any]:
-    rng = random.Random(seed)
+@contextlib.asynccontextmanager
+async def _run_site(
+    rng: random.Random, nodes: int, directory: pathlib.Path
+) -> AsyncIterator[tuple[trio.Nursery, _site.Site]]:
+    """Runs a site, and ends its processes and its nursery at the exit."""
     async with trio.open_nursery() as nursery:
         site = _site.Site(nursery, rng, directory, nodes)
         try:
             await site.start()
-            plan = await _run_with_faults(
-                site, rng, duration_s, directory / FAULT_LOG_NAME
-            )
-            recovered = await _measure_recovery(site)
-            violations = [*site.tally.violations, *plan.violations]
-            violations += _find_final_violations(site, recovered)
+            yield nursery, site
         finally:
             for node in site.nodes:
                 node.kill()
             nursery.cancel_scope.cancel()
+
+
+async def _run_seed(
+    seed: int, duration_s: float, nodes: int, directory: pathlib.Path
+) -> dict[str, Any]:
+    rng = random.Random(seed)
+    async with _run_site(rng, nodes, directory) as (_, site):
+        plan = await _run_with_faults(
+            site, rng, duration_s, directory / FAULT_LOG_NAME
+        )
+        recovered = await _measure_recovery(site)
+        violations = [*site.tally.violations, *plan.violations]
+        violations += _find_final_violations(site, recovered)
     tally = site.tally
     return {
         "seed": seed,
@@ -63,18 +74,11 @@
     seed: int, nodes: int, directory: pathlib.Path
 ) -> dict[str, Any]:
     rng = random.Random(seed)
-    async with trio.open_nursery() as nursery:
-        site = _site.Site(nursery, rng, directory, nodes)
-        try:
-            await site.start()
-            for caller in site.build_callers(CALLER_COUNT):
-                nursery.start_soon(caller.run)
-            plan = _leaving.LeavingPlan(site, rng)
-            await plan.run()
-        finally:
-            for node in site.nodes:
-                node.kill()
-            nursery.cancel_scope.cancel()
+    async with _run_site(rng, nodes, directory) as (nursery, site):
+        for caller in site.build_callers(CALLER_COUNT):
+            nursery.start_soon(caller.run)
+        plan = _leaving.LeavingPlan(site, rng)
+        await plan.run()
     return {
         "seed": seed,
         "asked": site.tally.asked,
--- a/tests/test_forward_link.py
+++ b/tests/test_forward_link.py
@@ -1,5 +1,7 @@
 """Tests of connections to endpoints, over socket pairs on the real clock."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Sequence
 import functools
 import socket
@@ -26,6 +28,34 @@
     return head + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
 
 
+async def _start_forwarder(
+    nursery: trio.Nursery,
+    serve: Callable[[trio.SocketStream], Awaitable[None]],
+    route: routing.Route,
+) -> forward.Forwarder:
+    """Starts an endpoint that serves connections, and a forwarder that uses it.
+
+    Args:
+        nursery: Runs both.
+        serve: Serves one connection to the endpoint.
+        route: Leads to the endpoint.
+    """
+    listeners = await nursery.start(
+        functools.partial(trio.serve_tcp, serve, 0, host="127.0.0.1")
+    )
+    port = listeners[0].socket.getsockname()[1]
+    dialect = _http.PlatformDialect()
+    fixture = builders.ForwarderFixture(
+        nursery,
+        [builders.endpoint_entry(address="127.0.0.1", port=port)],
+        [route],
+        site=_link.TcpLinkFactory(dialect),
+    )
+    return forward.Forwarder(
+        fixture.pool, fixture.budget, dialect, fixture.metrics
+    )
+
+
 class _Owner:
     """Records what a link reports."""
 
@@ -180,24 +210,8 @@
 
         async def run() -> None:
             async with trio.open_nursery() as nursery:
-                endpoints = await nursery.start(
-                    functools.partial(
-                        trio.serve_tcp, answer, 0, host="127.0.0.1"
-                    )
-                )
-                port = endpoints[0].socket.getsockname()[1]
-                dialect = _http.PlatformDialect()
-                entry = builders.endpoint_entry(address="127.0.0.1", port=port)
                 while unsent:
-                    fixture = builders.ForwarderFixture(
-                        nursery,
-                        [entry],
-                        [route],
-                        site=_link.TcpLinkFactory(dialect),
-                    )
-                    forwarder = forward.Forwarder(
-                        fixture.pool, fixture.budget, dialect, fixture.metrics
-                    )
+                    forwarder = await _start_forwarder(nursery, answer, route)
                     outcome = await forwarder.forward(
                         builders.caller_request(), route
                     )
@@ -268,22 +282,7 @@
 
         async def run() -> None:
             async with trio.open_nursery() as nursery:
-                endpoints = await nursery.start(
-                    functools.partial(
-                        trio.serve_tcp, serve, 0, host="127.0.0.1"
-                    )
-                )
-                port = endpoints[0].socket.getsockname()[1]
-                dialect = _http.PlatformDialect()
-                fixture = builders.ForwarderFixture(
-                    nursery,
-                    [builders.endpoint_entry(address="127.0.0.1", port=port)],
-                    [route],
-                    site=_link.TcpLinkFactory(dialect),
-                )
-                forwarder = forward.Forwarder(
-                    fixture.pool, fixture.budget, dialect, fixture.metrics
-                )
+                forwarder = await _start_forwarder(nursery, serve, route)
                 outcome = await forwarder.forward(
                     builders.caller_request(), route
                 )
