--- a/soak/_leaving.py
+++ b/soak/_leaving.py
@@ -20,7 +20,7 @@
 SILENT_SHARES = (0.7, 1.0)
 # An endpoint that has left may get requests for this time.
 DRAIN_S = 3.0
-# A node counts as disturbed for this time.
+# A node counts as disturbed for this time after a disturbance.
 CONTACT_S = 4.0
 # How long an endpoint serves after it has left.
 SERVES_ON_S = 10.0
@@ -87,7 +87,6 @@
             await trio.sleep(SERVES_ON_S)
         self._check(endpoint, left_s, disturbed_s)
         self._site.deregister(endpoint)
-        endpoint.deregistered = True
 
     def _check(
         self,
