Count the grace of lapsed endpoints from their removal

Cause: an entry that vanishes is a last resort for 2.4 s from when a node learns of it. With all watching nodes killed, nodes learned 1.6 s late and called the endpoint 3.4 s after the store had confirmed the removal.

Ruled out: a removal that does not spread (all nodes had it at once after the first read), an old entry that a restarted node hands out.

Each node now knows when its mirror last held every change, and drops the endpoint 0.3 s before the end of the drain time counted from there. Failed watches since then show an outage, in which live endpoints lapse; the grace then counts from now, as before.

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -646,6 +646,30 @@
     """
     The sender counts the receiver among its neighbours and relies on its notices.
     """
+    complete_age_ms: (
+        Annotated[
+            float,
+            Meta(
+                description="Time since the sender's mirror held every change of the store; negative if unknown."
+            ),
+        ]
+        | UnsetType
+    ) = -1
+    """
+    Time since the sender's mirror held every change of the store; negative if unknown.
+    """
+    watch_failure_age_ms: (
+        Annotated[
+            float,
+            Meta(
+                description="Time since some node's watch of the store failed; negative if there was no failure of late."
+            ),
+        ]
+        | UnsetType
+    ) = -1
+    """
+    Time since some node's watch of the store failed; negative if there was no failure of late.
+    """
 
 
 class MirrorRequest(Message):
--- a/src/geraniumstair/discovery/_registry.py
+++ b/src/geraniumstair/discovery/_registry.py
@@ -13,9 +13,13 @@
 from geraniumstair import store
 
 # Live endpoints register again within two seconds after the store returns. The
-# remaining time is for their heartbeat to arrive. The total has to stay below
-# the three seconds for which a removed endpoint continues to serve.
+# remaining time is for their heartbeat to arrive.
 LAPSE_GRACE_S = 2.4
+# A removed endpoint continues to serve for this time unless the site says
+# otherwise.
+DRAIN_S = 3.0
+# Time for the last call to a lapsed endpoint to arrive there.
+CALL_MARGIN_S = 0.3
 # Instances that announced their shutdown and are gone. They are remembered,
 # because a store that is restored from a copy shows them again.
 MAX_DEPARTED_INSTANCES = 1000
@@ -76,15 +80,20 @@
 
     Args:
         clock: Returns a monotonic time in s.
+        drain_s: How long a removed endpoint continues to serve.
 
     Attributes:
         generation: Counts the changes.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], drain_s: float = DRAIN_S
+    ) -> None:
         self._clock = clock
+        self._drain_s = drain_s
         self._entries: dict[str, EndpointEntry] = {}
-        self._lapsed_at_s: dict[str, float] = {}
+        # When the lapsed endpoints are removed, by id.
+        self._lapsed_until_s: dict[str, float] = {}
         self._changed_services: set[str] = set()
         # Last entries of instances that announced their shutdown.
         self._departed: dict[tuple[str, int, str, int], EndpointEntry] = {}
@@ -98,7 +107,7 @@
         """
         if self._is_outdated(entry):
             return False
-        self._lapsed_at_s.pop(entry.endpoint_id, None)
+        self._lapsed_until_s.pop(entry.endpoint_id, None)
         known = self._entries.get(entry.endpoint_id)
         if known != entry:
             self._entries[entry.endpoint_id] = entry
@@ -138,8 +147,16 @@
         self._changed_services.clear()
         return changed
 
-    def mark_lapsed(self, endpoint_id: str) -> None:
-        """Marks an endpoint as lapsed, or removes it if it was draining."""
+    def mark_lapsed(
+        self, endpoint_id: str, removed_since_s: float | None = None
+    ) -> None:
+        """Marks an endpoint as lapsed, or removes it if it was draining.
+
+        Args:
+            endpoint_id: The endpoint.
+            removed_since_s: Earliest time at which its entry may have been
+                removed; None for now.
+        """
         entry = self._entries.get(endpoint_id)
         if entry is None or entry.state is EndpointState.LAPSED:
             return
@@ -149,24 +166,40 @@
             del self._entries[endpoint_id]
             self._remember_departed(entry)
         else:
-            self._entries[endpoint_id] = dataclasses.replace(
-                entry, state=EndpointState.LAPSED
-            )
-            self._lapsed_at_s[endpoint_id] = self._clock()
+            self._lapse(entry, removed_since_s)
         self._record_change(entry)
 
+    def _lapse(
+        self, entry: EndpointEntry, removed_since_s: float | None
+    ) -> None:
+        now_s = self._clock()
+        if removed_since_s is None:
+            removed_since_s = now_s
+        until_s = min(
+            now_s + LAPSE_GRACE_S,
+            removed_since_s + self._drain_s - CALL_MARGIN_S,
+        )
+        if until_s <= now_s:
+            # The endpoint may end at any moment.
+            del self._entries[entry.endpoint_id]
+            return
+        self._entries[entry.endpoint_id] = dataclasses.replace(
+            entry, state=EndpointState.LAPSED
+        )
+        self._lapsed_until_s[entry.endpoint_id] = until_s
+
     @property
     def has_lapsed(self) -> bool:
         """True if lapsed endpoints will be removed unless they return."""
-        return bool(self._lapsed_at_s)
+        return bool(self._lapsed_until_s)
 
     def remove_expired(self) -> Iterable[EndpointEntry]:
-        """Removes and returns endpoints whose `LAPSE_GRACE_S` has passed."""
-        cutoff_s = self._clock() - LAPSE_GRACE_S
-        old = [i for i, at_s in self._lapsed_at_s.items() if at_s <= cutoff_s]
+        """Removes and returns endpoints that have been lapsed long enough."""
+        now_s = self._clock()
+        old = [i for i, at_s in self._lapsed_until_s.items() if at_s <= now_s]
         removed = []
         for endpoint_id in old:
-            del self._lapsed_at_s[endpoint_id]
+            del self._lapsed_until_s[endpoint_id]
             entry = self._entries.pop(endpoint_id)
             self._record_change(entry)
             removed.append(entry)
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -52,6 +52,7 @@
         seeds: Peer listeners of some other nodes, which may be down.
         cluster_key: Key that all nodes of a site share.
         grace_s: Time between the termination signal and the kill.
+        drain_s: How long a removed endpoint continues to serve.
         budget: Limits of retries and hedged requests of each service.
         remote_cost_ms: Latency penalty of endpoints in another availability
             zone.
@@ -70,6 +71,7 @@
     seeds: Sequence[peers.PeerAddress]
     cluster_key: str
     grace_s: float
+    drain_s: float
     budget: forward.BudgetLimits
     remote_cost_ms: float
     processor_cores: float
@@ -123,10 +125,16 @@
         self._watcher_selection = mirror.WatcherSelection(
             settings.node_id, trio.current_time
         )
+        self._completeness = mirror.Completeness(trio.current_time)
         self._store_watcher = mirror.StoreWatcher(
-            adapters.store, self._mirror, self._watcher_selection
+            adapters.store,
+            self._mirror,
+            self._watcher_selection,
+            self._completeness,
+        )
+        self._registry = discovery.EndpointRegistry(
+            trio.current_time, settings.drain_s
         )
-        self._registry = discovery.EndpointRegistry(trio.current_time)
         identity = wire.Identity(
             settings.node_id,
             int(time.time() * 1000),
@@ -143,6 +151,7 @@
             self._mirror,
             self._store_watcher,
             self._watcher_selection,
+            self._completeness,
         )
         self._budget = forward.RetryBudget(settings.budget, trio.current_time)
 
@@ -191,7 +200,11 @@
         self._pool = pool
         self._budget.set_share_finder(pool.repeat_share)
         state = _state.DesiredState(
-            self._adapters.decoder, self._registry, pool, self._rollouts
+            self._adapters.decoder,
+            self._registry,
+            pool,
+            self._rollouts,
+            lambda: self._completeness.changes_since_s,
         )
         self._delegation = forward.Delegation(
             settings.node_id,
--- a/src/geraniumstair/gateway/_state.py
+++ b/src/geraniumstair/gateway/_state.py
@@ -1,5 +1,6 @@
 """The routes, endpoints and operators' orders, as decoded from the mirror."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 import logging
@@ -127,6 +128,9 @@
         registry: The known endpoints.
         listener: Receives routes, endpoints and availability zones.
         rollouts: Receives orders and records of rollouts.
+        changes_since_s: Returns the earliest time at which a change that is
+            applied now may have been made, on trio's clock; None takes each
+            change for new.
 
     Attributes:
         table: The routes; None before the first version is known.
@@ -138,7 +142,9 @@
         registry: discovery.EndpointRegistry,
         listener: RoutingListener,
         rollouts: RolloutListener,
+        changes_since_s: Callable[[], float] | None = None,
     ) -> None:
+        self._changes_since_s = changes_since_s
         self.table: routing.RouteTable | None = None
         self._decoder = decoder
         self._registry = registry
@@ -281,7 +287,8 @@
                     earlier_state=known.state.value,
                 ),
             )
-        self._registry.mark_lapsed(endpoint_id)
+        since_s = self._changes_since_s() if self._changes_since_s else None
+        self._registry.mark_lapsed(endpoint_id, since_s)
         self._has_pending.set()
 
     def _apply_table(self, table: routing.RouteTable) -> None:
--- a/src/geraniumstair/mirror/__init__.py
+++ b/src/geraniumstair/mirror/__init__.py
@@ -6,6 +6,7 @@
 package.
 """
 
+from geraniumstair.mirror._completeness import Completeness
 from geraniumstair.mirror._gossip import MirrorGossip
 from geraniumstair.mirror._mirror import Mirror
 from geraniumstair.mirror._mirror import MirrorItem
@@ -14,6 +15,7 @@
 from geraniumstair.mirror._watcher_selection import WatcherSelection
 
 __all__ = [
+    "Completeness",
     "Mirror",
     "MirrorGossip",
     "MirrorItem",
--- a/src/geraniumstair/mirror/_gossip.py
+++ b/src/geraniumstair/mirror/_gossip.py
@@ -24,6 +24,7 @@
 from geraniumstair import _struct
 from geraniumstair import peers
 from geraniumstair._generated import messages
+from geraniumstair.mirror import _completeness
 from geraniumstair.mirror import _mirror
 from geraniumstair.mirror import _store_watcher
 from geraniumstair.mirror import _watcher_selection
@@ -37,6 +38,9 @@
 # A peer that requested notices within this time, which is four notice
 # intervals, receives them even if it is not a neighbour.
 NOTICE_REQUEST_TTL_S = 2.0
+# Ages beyond this are not reported. Longer than any time for which a node may
+# be behind without an outage of the store.
+MAX_REPORTED_AGE_S = 10.0
 # How long a node that is behind waits for a peer that knows all changes, before
 # it fetches the whole contents. A change reaches most nodes within this time.
 COPY_DELAY_S = 0.5
@@ -73,7 +77,11 @@
         mirror: _mirror.Mirror,
         watcher: _store_watcher.StoreWatcher,
         selection: _watcher_selection.WatcherSelection,
+        completeness: _completeness.Completeness | None = None,
     ) -> None:
+        self._completeness = completeness or _completeness.Completeness(
+            trio.current_time
+        )
         self._network = network
         self._mirror = mirror
         self._watcher = watcher
@@ -117,12 +125,16 @@
         # the calls of a watch hang or fail.
         age_s = min(self._watcher.age_s, self._selection.watch_age_s)
         neighbours = self._neighbours
+        complete_age_ms = _encode_age(self._completeness.age_s)
+        failure_age_ms = _encode_age(self._completeness.failure_age_s)
         for node_id in self._select_notice_targets():
             if periodic or self._peer_revisions.get(node_id, 0) < newest:
                 notice = messages.MirrorNotice(
                     newest=newest,
                     watch_age_ms=round(age_s * 1000),
                     wants_notices=neighbours is None or node_id in neighbours,
+                    complete_age_ms=complete_age_ms,
+                    watch_failure_age_ms=failure_age_ms,
                 )
                 self._network.send(node_id, notice)
                 self._peer_revisions[node_id] = newest
@@ -165,6 +177,9 @@
     ) -> None:
         if notice.watch_age_ms >= 0:
             self._selection.record_watch_answer(notice.watch_age_ms / 1000)
+        failure_age_s = _decode_age(notice.watch_failure_age_ms)
+        if failure_age_s is not None:
+            self._completeness.record_failure(failure_age_s)
         if notice.wants_notices:
             self._notices_requested_s[sender] = trio.current_time()
         known = self._peer_revisions.get(sender, 0)
@@ -174,6 +189,11 @@
             self._fetch_needed.set()
         else:
             self._peers_ahead.pop(sender, None)
+            # The age of the watch says nothing about the sender's mirror, which
+            # may not have the changes that the watch returned.
+            complete_age_s = _decode_age(notice.complete_age_ms)
+            if complete_age_s is not None:
+                self._completeness.record_complete(complete_age_s)
 
     async def _on_request(
         self, sender: str, request: messages.MirrorRequest
@@ -246,6 +266,17 @@
         self._copy_due_s = math.inf
 
 
+def _encode_age(age_s: float) -> int:
+    """Returns an age in ms; negative if it is unknown or too old to matter."""
+    return round(age_s * 1000) if age_s < MAX_REPORTED_AGE_S else -1
+
+
+def _decode_age(age_ms: float | msgspec.UnsetType) -> float | None:
+    if isinstance(age_ms, msgspec.UnsetType) or age_ms < 0:
+        return None
+    return age_ms / 1000
+
+
 def encode_changes(
     mirror: _mirror.Mirror, after: int
 ) -> messages.MirrorChanges:
--- a/src/geraniumstair/mirror/_store_watcher.py
+++ b/src/geraniumstair/mirror/_store_watcher.py
@@ -9,6 +9,7 @@
 import trio
 
 from geraniumstair import store
+from geraniumstair.mirror import _completeness
 from geraniumstair.mirror import _mirror
 from geraniumstair.mirror import _watcher_selection
 
@@ -64,6 +65,7 @@
         source: The store.
         mirror: Receives the items and changes.
         selection: Decides whether this node is a watcher.
+        completeness: Learns when the mirror is complete; None starts a new one.
 
     Attributes:
         answered_s: When the store last answered, on trio's clock; None before
@@ -75,10 +77,14 @@
         source: StoreReader,
         mirror: _mirror.Mirror,
         selection: _watcher_selection.WatcherSelection,
+        completeness: _completeness.Completeness | None = None,
     ) -> None:
         self._source = source
         self._mirror = mirror
         self._selection = selection
+        self._completeness = completeness or _completeness.Completeness(
+            trio.current_time
+        )
         self._retry_s = _RETRY_MIN_S
         self.answered_s: float | None = None
 
@@ -120,6 +126,7 @@
             _LOG.warning(
                 "mirror: cannot read the store: %s", reply.err_value.detail
             )
+            self._completeness.record_failure()
             return False
         items, position = reply.ok_value
         if not self._mirror.replace(items, position):
@@ -129,6 +136,7 @@
             )
             return False
         self._record_answer()
+        self._completeness.record_complete()
         return True
 
     async def _watch_once(self) -> bool:
@@ -143,10 +151,13 @@
             _LOG.warning(
                 "mirror: the watch failed: %s", changes.err_value.detail
             )
+            self._completeness.record_failure()
             return False
         items, position = changes.ok_value
         self._record_answer()
-        if self._mirror.apply(items, position) and items:
+        advanced = self._mirror.apply(items, position)
+        self._completeness.record_complete()
+        if advanced and items:
             await trio.sleep(BATCH_DELAY_S)
         return True
 
--- a/src/geraniumstair/platform/_settings.py
+++ b/src/geraniumstair/platform/_settings.py
@@ -32,6 +32,7 @@
 
 class _Bounds(msgspec.Struct, frozen=True):
     grace_s: float = msgspec.field(name="GraceS", default=6.0)
+    drain_ms: float = msgspec.field(name="DrainMs", default=3000.0)
     retry_budget_ratio: float = msgspec.field(
         name="RetryBudgetRatio", default=0.2
     )
@@ -122,6 +123,7 @@
             seeds=[parse_address(seed) for seed in settings.seeds],
             cluster_key=_derive_cluster_key(settings),
             grace_s=bounds.grace_s,
+            drain_s=bounds.drain_ms / 1000,
             budget=forward.BudgetLimits(
                 ratio=bounds.retry_budget_ratio,
                 window_s=bounds.budget_window_s,
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -581,11 +581,16 @@
     Attributes:
         mirrors: The mirror of each node's last start.
         networks: The network of each node's last start.
+        completeness: When the mirror of each node's last start was complete.
+        removals_since_s: For each node, the earliest time of the last removal
+            that it learned of.
     """
 
     def __init__(self, source: FakeStore, names: Sequence[str]) -> None:
         self.mirrors: dict[str, mirror.Mirror] = {}
         self.networks: dict[str, FakeNetwork] = {}
+        self.completeness: dict[str, mirror.Completeness] = {}
+        self.removals_since_s: dict[str, float] = {}
         self._source = source
         self._names = names
         self._scopes: dict[str, trio.CancelScope] = {}
@@ -596,8 +601,20 @@
         local_mirror = self.mirrors[name] = mirror.Mirror()
         selection = mirror.WatcherSelection(name, trio.current_time)
         selection.set_members(frozenset(self._names))
-        watcher = mirror.StoreWatcher(self._source, local_mirror, selection)
-        gossip = mirror.MirrorGossip(network, local_mirror, watcher, selection)
+        completeness = mirror.Completeness(trio.current_time)
+        self.completeness[name] = completeness
+
+        def record_removals(items: Sequence[mirror.MirrorItem]) -> None:
+            if any(item.value is None for item in items):
+                self.removals_since_s[name] = completeness.changes_since_s
+
+        local_mirror.subscribe(record_removals)
+        watcher = mirror.StoreWatcher(
+            self._source, local_mirror, selection, completeness
+        )
+        gossip = mirror.MirrorGossip(
+            network, local_mirror, watcher, selection, completeness
+        )
         zones = dict.fromkeys(self._names, "z")
         gossip.set_neighbours(gateway.select_neighbours(name, zones))
         with trio.CancelScope() as scope:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -38,6 +38,20 @@
         )
         self.assertIsNone(self.registry.get("e1"))
 
+    def test_a_removal_that_is_learned_of_late_shortens_the_grace(self) -> None:
+        # Three seconds after the removal, a request still reached the endpoint
+        # from a node that had learned of it after 1.6 s.
+        self.now_s = 10.0
+        self.registry.mark_lapsed("e1", removed_since_s=8.4)
+        self.assertIs(self.registry.get("e1").state, LAPSED)
+        self.now_s = 11.2
+        self.assertEqual(
+            [e.endpoint_id for e in self.registry.remove_expired()], ["e1"]
+        )
+        self.registry.put(builders.endpoint_entry("e1"))
+        self.registry.mark_lapsed("e1", removed_since_s=7.0)
+        self.assertIsNone(self.registry.get("e1"))
+
     def test_a_draining_endpoint_is_removed_with_its_entry(self) -> None:
         draining = discovery.EndpointState.DRAINING
         self.registry.put(builders.endpoint_entry("e1", state=draining))
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -295,6 +295,7 @@
             for name in watchers:
                 site.kill(name)
             await trio.sleep(0.1)
+            removed_s = trio.current_time()
             source.remove("a")
             await trio.sleep(0.9)
             for name in watchers:
@@ -302,6 +303,14 @@
             await trio.sleep(limit_s - 0.9)
             late = [n for n in names if site.mirrors[n].get("a") is not None]
             self.assertEqual(late, [])
+            # Nodes that learn late know how old the removal may be.
+            unaware = [
+                n
+                for n, since_s in site.removals_since_s.items()
+                if not removed_s - 5.0 < since_s <= removed_s
+            ]
+            self.assertEqual(unaware, [])
+            self.assertEqual(len(site.removals_since_s), count - len(watchers))
 
         builders.run_on_virtual_clock(test)
 
@@ -311,6 +320,30 @@
         self._assert_removal_spreads(7, 3.0)
         self._assert_removal_spreads(87, 5.0)
 
+    def test_removals_in_an_outage_of_the_store_count_as_new(self) -> None:
+        # Endpoints whose entries expire in an outage live on, so they serve as
+        # a last resort however long the outage has lasted.
+        async def test(nursery: trio.Nursery) -> None:
+            source = builders.FakeStore()
+            source.put("a", b"1")
+            names = [f"n{i}" for i in range(7)]
+            site = builders.MirrorSite(source, names)
+            for name in names:
+                nursery.start_soon(site.run_node, name)
+            await trio.sleep(10)
+            source.down = True
+            await trio.sleep(4)
+            source.remove("a")
+            source.down = False
+            returned_s = trio.current_time()
+            await trio.sleep(4)
+            self.assertEqual(len(site.removals_since_s), len(names))
+            self.assertGreaterEqual(
+                min(site.removals_since_s.values()), returned_s
+            )
+
+        builders.run_on_virtual_clock(test)
+
     def test_notices_do_not_grow_with_the_rate_of_changes(self) -> None:
         # While all nodes of a large site restarted in turn, each node told all
         # its neighbours of each change.
