Treat statuses outside 100 to 599 as no response

Cause: an endpoint in trouble may send a status such as 000, 099, 600 or 999. The parser took every status below 200 for an informational response and passed on everything else.

What a caller got before, from an endpoint that names the request, signs its response and keeps the connection open (in each case with an empty body, a body with a length, and a chunked body): - 000 and 099, single request: 504 'timeout' at the end of its time; with a good answer behind it, that answer, as 200. The connection stayed in use. - 600 and 999, single request: 600 and 999 with the endpoint's body. The connection stayed in use, unless bytes followed. - search over this shard: 000 and 099 as above; 600 and 999 gave 502. - any of the four without a length: 504 'timeout', the connection stayed open.

Now each of them is an invalid response: the call is lost, since it may have run, the connection is closed at once, and the caller gets 502. This includes responses that carry the marker for 'not run': nothing else in such a response can be trusted. A complete response before it in the same bytes still counts.

Considered: a check in the platform's adapter. It would see neither 000 and 099, which the parser skips, nor the responses of the other kind of node.

Tests: test_endpoint_http_response (20 cases) and test_forward_link (32 cases through a forwarder and real connections) fail before the change (40 subtests and 32 subtests failed); both pass now, with test_dispatch_http_client and test_docs. test_dispatch_http_client failed if it ran after test_forward_link in one process, also before this change, because a test left its parser open; it closes it now.

--- a/src/geraniumstair/endpoint_http/_response.py
+++ b/src/geraniumstair/endpoint_http/_response.py
@@ -7,6 +7,9 @@
 # Responses with larger headers are invalid. The same limit holds for trailers,
 # and for chunk extensions and other framing between two parts of a body.
 MAX_HEADER_BYTES = 32 * 1024
+# Statuses that HTTP defines. An endpoint in trouble may send others, with which
+# nothing says whether the request has run.
+_STATUSES = range(100, 600)
 _FIRST_FINAL_STATUS = 200
 
 
@@ -190,6 +193,9 @@
 
     def on_headers_complete(self) -> None:
         """Called when all headers are complete."""
+        status = self._parser.get_status_code()
+        if status not in _STATUSES:
+            raise InvalidResponse(f"status {status:03} is out of range")
         self._in_body = True
 
     def on_body(self, body: bytes) -> None:
--- a/tests/test_endpoint_http_response.py
+++ b/tests/test_endpoint_http_response.py
@@ -42,6 +42,40 @@
         self.assertEqual(response.status, 200)
         self.assertEqual(response.headers[b"x-a"], b"1")
 
+    def test_a_status_out_of_range_is_no_response(self) -> None:
+        # Statuses below 100 were skipped, so the next response counted.
+        for status in (b"000", b"020", b"099", b"600", b"999"):
+            for body in (
+                b"content-length: 0\r\n\r\n",
+                b"content-length: 3\r\n\r\nbad",
+                b"transfer-encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
+                b"\r\n",
+            ):
+                for after in (b"", _RESPONSE):
+                    with self.subTest(status, body=body, after=after):
+                        parser = endpoint_http.ResponseParser(100)
+                        data = b"HTTP/1.1 %b Bad\r\n%b%b" % (
+                            status,
+                            body,
+                            after,
+                        )
+                        with self.assertRaises(endpoint_http.InvalidResponse):
+                            parser.feed(data)
+                        self.assertFalse(parser.reusable)
+                        self.assertIsNone(parser.finish())
+
+    def test_a_status_out_of_range_does_not_undo_a_response(self) -> None:
+        parser = endpoint_http.ResponseParser(100)
+        bad = _RESPONSE.replace(b"200", b"600")
+        self.assertEqual(parser.feed(_RESPONSE + bad).status, 200)
+        self.assertFalse(parser.reusable)
+
+    def test_each_status_in_range_is_a_response(self) -> None:
+        for status in range(200, 600):
+            parser = endpoint_http.ResponseParser(100)
+            data = b"HTTP/1.1 %d X\r\ncontent-length: 0\r\n\r\n" % status
+            self.assertEqual(parser.feed(data).status, status)
+
     def test_connection_close_ends_reuse(self) -> None:
         parser = endpoint_http.ResponseParser(100)
         parser.feed(
--- a/tests/test_forward_link.py
+++ b/tests/test_forward_link.py
@@ -242,6 +242,69 @@
         self.assertEqual([r.status for r in responses], [200])
 
 
+class StatusRangeTest(unittest.TestCase):
+    """Guards against a status outside the protocol that callers are given.
+
+    Statuses below 100 were skipped like informational responses, so the bytes
+    after them answered the call. Statuses of 600 and above reached callers.
+    """
+
+    _BODIES = {
+        "no body": b"Content-Length: 0\r\n\r\n",
+        "body": b"Content-Length: 3\r\n\r\nbad",
+        "chunked": b"Transfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
+        "until the end": b"\r\nbad",
+    }
+
+    def _forward(
+        self, data: bytes, route: routing.Route
+    ) -> tuple[gateway.HttpResponse, int]:
+        """Forwards a request to an endpoint that keeps its connections open.
+
+        Returns:
+            What the caller gets, and the number of connections that stay open.
+        """
+        responses = []
+        open_connections = 0
+        closed = trio.Event()
+
+        async def serve(stream: trio.SocketStream) -> None:
+            nonlocal open_connections
+            open_connections += 1
+            async with stream:
+                while await stream.receive_some(65536):
+                    await stream.send_all(data)
+            open_connections -= 1
+            closed.set()
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                forwarder = await _start_forwarder(nursery, serve, route)
+                request = builders.caller_request(remaining_ms=300.0)
+                outcome = await forwarder.forward(request, route)
+                responses.append(_http.PlatformCodec().render(outcome))
+                with trio.move_on_after(1):
+                    await closed.wait()
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+        return responses[0], open_connections
+
+    def test_the_call_is_lost_and_its_connection_closed(self) -> None:
+        route = builders.route(idempotent=False)
+        for status in (b"000", b"099", b"600", b"999"):
+            head = _RESPONSE_HEAD.replace(b"200 OK", status + b" Bad") % b"q1"
+            for name, body in self._BODIES.items():
+                for after in (b"", _response(b"q1", b"good")):
+                    with self.subTest(status, body=name, after=bool(after)):
+                        response, open_connections = self._forward(
+                            head + body + after, route
+                        )
+                        self.assertEqual(response.status, 502)
+                        self.assertEqual(response.body, b"endpoint_failed")
+                        self.assertEqual(open_connections, 0)
+
+
 class LateRejectionTest(unittest.TestCase):
     """Guards against late copies of a rejection that answer another call."""
 
@@ -322,5 +385,7 @@
         self.assertEqual(parser.finish().body, b"body")
         parser = endpoint_http.ResponseParser(1000)
         chunked = b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+        # Its bytes count in the limit of the process until it is closed.
+        self.addCleanup(parser.close)
         parser.parse_all(_RESPONSE_HEAD % b"q1" + chunked)
         self.assertIsNone(parser.finish())
