Split the calls to an endpoint from the judgement of its health

Behaviour is unchanged.

Considered: moving the connections out of _replica as well. They share the state of each call with it, so the two would only call each other.

Ran: tests.test_forward, _link, _repeats, _suspects, _rates, _grants: OK.

--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -18,10 +18,12 @@
 from geraniumstair import discovery
 from geraniumstair import routing
 from geraniumstair.forward import _delegation_nodes
+from geraniumstair.forward import _health
 from geraniumstair.forward import _link
 from geraniumstair.forward import _metrics
 from geraniumstair.forward import _rates
 from geraniumstair.forward import _replica
+from geraniumstair.forward import _statements
 
 _LOG = logging.getLogger(__name__)
 # Share of an endpoint's connections that the nodes divide among themselves. The
@@ -109,7 +111,7 @@
         self._rng = rng
         self._replicas: dict[_InstanceKey, _replica.Replica] = {}
         # Of instances that are not registered at present.
-        self._earlier_wishes: dict[_InstanceKey, _replica.Wishes] = {}
+        self._earlier_wishes: dict[_InstanceKey, _statements.Wishes] = {}
         self._by_service: dict[str, list[_replica.Replica]] = {}
         # Also contains the endpoints that this node does not use.
         self._registered: dict[str, list[_replica.Replica]] = {}
@@ -301,10 +303,10 @@
         return replica
 
     def _remember_wishes(
-        self, instance_key: _InstanceKey, wishes: _replica.Wishes
+        self, instance_key: _InstanceKey, wishes: _statements.Wishes
     ) -> None:
         # An entry that lapsed while the store was away returns.
-        if wishes == _replica.Wishes():
+        if wishes == _statements.Wishes():
             return
         if len(self._earlier_wishes) >= MAX_EARLIER_WISHES:
             del self._earlier_wishes[next(iter(self._earlier_wishes))]
@@ -400,7 +402,7 @@
 
         This includes endpoints that this node does not use.
         """
-        return sum(_accepts_calls(r) for r in self._registered.get(service, ()))
+        return sum(r.accepts_calls for r in self._registered.get(service, ()))
 
     def node_count(self, service: str) -> int:
         """Returns the number of nodes that call a service."""
@@ -497,7 +499,7 @@
         """Returns the cost regardless of the limit that an endpoint states."""
         entry = replica.entry
         state = entry.state
-        if not _accepts_calls(replica) or replica.is_paused(now_s):
+        if not replica.accepts_calls or replica.wishes.is_paused(now_s):
             return None
         if entry.availability_zone in self._zones_out:
             return None
@@ -507,12 +509,14 @@
         limit = self._get_cold_limit(replica, now_s)
         if limit is not None and not limit.has_token(now_s):
             return None
-        if replica.is_down(now_s) and replica.is_avoided(now_s):
+        if replica.health.is_down(now_s) and replica.health.is_avoided(now_s):
             # Endpoints that are down are probed in turn, so that a recovered
             # one is found soon.
             return 3, -replica.since_last_call_s(now_s)
         rank = 0
-        if state is discovery.EndpointState.LAPSED or replica.is_avoided(now_s):
+        if state is discovery.EndpointState.LAPSED or replica.health.is_avoided(
+            now_s
+        ):
             rank = 2
         elif replica.is_stalled(now_s):
             rank = 1
@@ -522,7 +526,7 @@
             rank = -1
         load_factor = 1 + replica.load / max(1, entry.slots)
         cost_ms = replica.expected_ms(now_s) * load_factor
-        cost_ms += FAILURE_COST_MS * replica.failure_share
+        cost_ms += FAILURE_COST_MS * replica.health.failure_share
         if entry.availability_zone != self._settings.availability_zone:
             cost_ms += self._settings.remote_cost_ms
         return rank, cost_ms + self._rng.random()
@@ -542,7 +546,7 @@
         return self._stated_limits.find_limit(
             replica.entry,
             replica.rate_limit_per_s,
-            replica.limited_since_s,
+            replica.rate_statement.limited_since_s,
             now_s,
         )
 
@@ -668,8 +672,7 @@
     def has_usable_endpoint(self, service: str) -> bool:
         """Returns whether some endpoint of the service may get calls."""
         return any(
-            _accepts_calls(r)
-            and r.entry.availability_zone not in self._zones_out
+            r.accepts_calls and r.entry.availability_zone not in self._zones_out
             for r in self._by_service.get(service, ())
         )
 
@@ -681,12 +684,12 @@
         """
         now_s = trio.current_time()
         replicas = [
-            r for r in self._by_service.get(service, ()) if _accepts_calls(r)
+            r for r in self._by_service.get(service, ()) if r.accepts_calls
         ]
-        awake = [r for r in replicas if not r.is_paused(now_s)]
+        awake = [r for r in replicas if not r.wishes.is_paused(now_s)]
         if not awake:
             return bool(replicas)
-        down = [r for r in awake if r.is_down(now_s)]
+        down = [r for r in awake if r.health.is_down(now_s)]
         if not down:
             return False
         for replica in awake:
@@ -696,7 +699,7 @@
             ):
                 return False
         last_call_age_s = min(r.since_last_call_s(now_s) for r in down)
-        return last_call_age_s < _replica.PROBE_INTERVAL_S
+        return last_call_age_s < _health.PROBE_INTERVAL_S
 
     def retry_after_s(self, service: str) -> float | None:
         """Returns the time until an endpoint may answer; None if unknown."""
@@ -705,7 +708,7 @@
             self._compute_wait_s(r, now_s)
             for r in self._by_service.get(service, ())
             if r.entry.state is discovery.EndpointState.READY
-            and _accepts_calls(r)
+            and r.accepts_calls
         ]
         return min(waits) if waits else None
 
@@ -748,8 +751,3 @@
             service: [replica.dump() for replica in replicas]
             for service, replicas in sorted(self._by_service.items())
         }
-
-
-def _accepts_calls(replica: _replica.Replica) -> bool:
-    is_draining = replica.entry.state is discovery.EndpointState.DRAINING
-    return not (is_draining or replica.wishes.leaving or replica.address_reused)
--- a/src/geraniumstair/forward/_grants.py
+++ b/src/geraniumstair/forward/_grants.py
@@ -200,7 +200,7 @@
 
 def _build_report(replica: _replica.Replica) -> messages.LimitReport:
     limit_per_s = replica.rate_limit_per_s
-    age_s = trio.current_time() - replica.limit_observed_s
+    age_s = trio.current_time() - replica.rate_statement.observed_s
     return messages.LimitReport(
         endpoint=replica.entry.endpoint_id,
         limit_per_s=_UNLIMITED_PER_S if limit_per_s is None else limit_per_s,
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -1,12 +1,8 @@
-"""One endpoint as this node sees it: connections, queued calls, health."""
+"""Makes calls to one endpoint over this node's connections to it."""
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
-import heapq
-import itertools
 import logging
-import math
 from typing import Any
 from typing import Protocol
 
@@ -14,48 +10,22 @@
 
 from geraniumstair import canary
 from geraniumstair import discovery
-from geraniumstair import observe
 from geraniumstair.forward import _call
+from geraniumstair.forward import _call_queue
+from geraniumstair.forward import _end_check
+from geraniumstair.forward import _health
 from geraniumstair.forward import _link
 from geraniumstair.forward import _metrics
+from geraniumstair.forward import _statements
 
 _LOG = logging.getLogger(__name__)
-# Weight of a new sample in the moving averages.
-LATENCY_WEIGHT = 0.15
-FAILURE_WEIGHT = 0.2
-# Latency that is assumed before the first sample.
-INITIAL_LATENCY_MS = 30.0
-# Without replies, the part of the average above the initial latency halves in
-# this time, so that an endpoint that was slow is tried again.
-LATENCY_HALF_LIFE_S = 2.0
-# A call that has lasted this many times the average latency, plus the margin,
-# shows that its endpoint makes no progress.
-STALLED_FACTOR = 2.5
-STALLED_MARGIN_MS = 25.0
-# An endpoint that failed is avoided for this time, which doubles with each
-# failure in a row.
-AVOID_MIN_S = 0.2
-AVOID_MAX_S = 3.0
-# An endpoint is down after this many failures in a row, if it has also sent no
-# reply for this time. Slow and paused endpoints reply sooner.
-DOWN_FAILURES = 3
-DOWN_SILENCE_S = 1.0
-# Interval of calls that probe whether an endpoint that is down has recovered,
-# and of connection attempts if it can't be reached. With a shorter interval,
-# more callers wait in vain for such a call while the endpoint is down; with a
-# longer one, callers are still refused after it has recovered.
-PROBE_INTERVAL_S = 0.5
+# Interval of connection attempts to an endpoint that can't be reached.
 RECONNECT_INTERVAL_S = 0.3
 # An abandoned call that still runs after this time is aborted: its connection
 # is closed, which ends the work at the endpoint. Half a second is allowed. A
 # call that has already lasted this long when it is abandoned is aborted at
 # once, because it would keep a slot from calls that somebody waits for.
 ABANDONED_LIMIT_S = 0.35
-# Limit of the check whether an endpoint that closed connections still accepts
-# new ones. One that has ended refuses them at once.
-END_CHECK_TIMEOUT_S = 0.02
-# Least time between two log lines about the value of an endpoint's limit.
-LIMIT_LOG_INTERVAL_S = 1.0
 
 
 class Spawner(Protocol):
@@ -67,19 +37,6 @@
         """Starts a task."""
 
 
-@dataclasses.dataclass(slots=True)
-class Wishes:
-    """What an instance stated in its answers to this node.
-
-    Attributes:
-        leaving: It shuts down, whatever its registration still says.
-        paused_until_s: Until when it wants no requests from this node.
-    """
-
-    leaving: bool = False
-    paused_until_s: float = -math.inf
-
-
 class Replica:
     """Sends calls to one instance of an endpoint.
 
@@ -101,17 +58,12 @@
         entry: The newest registration of the instance.
         max_links: Connections that this node may hold.
         keeps_links: Connections stay open while no call needs them.
-        latency_ms: Moving average of the latency of a call.
-        failure_share: Moving average of failed calls, 0 to 1.
+        health: How the endpoint fares.
         cold_until_s: When the endpoint's warm-up ends.
         address_reused: Another endpoint answered at the address. This instance
             has ended, whatever its registration still says.
         wishes: What the instance stated in its answers.
-        rate_limit_per_s: Requests a second that the endpoint accepts from all
-            nodes together, as its last answer states; None without a limit.
-        limited_since_s: When this node first knew of a limit.
-        limit_observed_s: When the answer arrived that shows the present limit,
-            or that there is none.
+        rate_statement: The request rate limit that it states.
     """
 
     def __init__(
@@ -124,13 +76,12 @@
         versions: canary.VersionTracker,
         schedule_sweep: "Callable[[Replica], None]",
         on_limit_stated: "Callable[[Replica, float | None], None]",
-        wishes: Wishes | None = None,
+        wishes: _statements.Wishes | None = None,
     ) -> None:
         self.entry = entry
         self.max_links = max_links
         self.keeps_links = True
-        self.latency_ms = INITIAL_LATENCY_MS
-        self.failure_share = 0.0
+        self.health = _health.Health()
         self.cold_until_s = 0.0
         self._factory = factory
         self._spawner = spawner
@@ -141,28 +92,15 @@
         self._links: set[_link.Link] = set()
         self._free_links: list[_link.Link] = []
         self._opening_count = 0
-        self._waiting: list[tuple[int, int, _call.Call]] = []
-        self._submit_order = itertools.count()
+        self._waiting = _call_queue.CallQueue()
         self._running: dict[_call.Call, _link.Link] = {}
-        self._avoid_until_s = 0.0
-        self._consecutive_failures = 0
-        self._last_reply_s = 0.0
         self._last_call_s = 0.0
         self._reconnecting = False
         self._closed = False
-        # Calls whose connections the endpoint closed, until it is known
-        # whether it has ended.
-        self._lost_calls: list[tuple[_call.Call, _call.Reply]] = []
+        self._end_check = _end_check.EndCheck(factory, self._deliver)
         self.address_reused = False
-        self.wishes = wishes or Wishes()
-        self.rate_limit_per_s: float | None = None
-        self.limited_since_s = 0.0
-        self.limit_observed_s = -math.inf
-        # For the log: when the limit was last logged, its value then, and the
-        # calls since.
-        self._limit_logged_at_s = -math.inf
-        self._logged_limit_per_s: float | None = None
-        self._limited_calls = 0
+        self.wishes = wishes or _statements.Wishes()
+        self.rate_statement = _statements.RateStatement()
 
     # ---- state for load balancing ----
 
@@ -176,44 +114,27 @@
         """Connections that are open or being opened."""
         return len(self._links) + self._opening_count
 
+    @property
+    def accepts_calls(self) -> bool:
+        """False if this instance ends, or has ended."""
+        is_draining = self.entry.state is discovery.EndpointState.DRAINING
+        return not (is_draining or self.wishes.leaving or self.address_reused)
+
+    @property
+    def rate_limit_per_s(self) -> float | None:
+        """The request rate limit that it states; None without a limit."""
+        return self.rate_statement.limit_per_s
+
     def expected_ms(self, now_s: float) -> float:
         """Returns the expected latency of a call."""
-        excess_ms = self.latency_ms - INITIAL_LATENCY_MS
-        if excess_ms <= 0 or self._running:
-            return self.latency_ms
-        idle_s = now_s - self._last_reply_s
-        return INITIAL_LATENCY_MS + excess_ms * 0.5 ** (
-            idle_s / LATENCY_HALF_LIFE_S
+        return self.health.expected_ms(
+            now_s, has_running_calls=bool(self._running)
         )
 
     def is_stalled(self, now_s: float) -> bool:
         """Returns whether running calls show no progress of the endpoint."""
-        if not self._running:
-            return False
-        oldest_s = min(call.sent_s for call in self._running)
-        # A reply after that call was sent shows progress.
-        since_s = max(oldest_s, self._last_reply_s)
-        limit_ms = STALLED_FACTOR * self.latency_ms + STALLED_MARGIN_MS
-        return (now_s - since_s) * 1000 > limit_ms
-
-    def is_avoided(self, now_s: float) -> bool:
-        """Returns whether the endpoint is avoided after a recent failure."""
-        return now_s < self._avoid_until_s
-
-    def avoided_for_s(self, now_s: float) -> float:
-        """Returns how much longer the endpoint is avoided."""
-        return max(0.0, self._avoid_until_s - now_s)
-
-    def is_paused(self, now_s: float) -> bool:
-        """Returns whether the endpoint wants no requests from this node."""
-        return now_s < self.wishes.paused_until_s
-
-    def is_down(self, now_s: float) -> bool:
-        """Returns whether the next call would fail as the last ones did."""
-        return (
-            self._consecutive_failures >= DOWN_FAILURES
-            and now_s - self._last_reply_s >= DOWN_SILENCE_S
-        )
+        oldest_s = min((call.sent_s for call in self._running), default=None)
+        return self.health.is_stalled(now_s, oldest_s)
 
     def since_last_call_s(self, now_s: float) -> float:
         """Returns the time since the last call was submitted."""
@@ -222,10 +143,10 @@
     def retry_in_s(self, now_s: float) -> float:
         """Returns the time until a call may succeed that would fail now."""
         pause_s = max(0.0, self.wishes.paused_until_s - now_s)
-        if self.is_down(now_s):
-            probe_s = PROBE_INTERVAL_S - self.since_last_call_s(now_s)
+        if self.health.is_down(now_s):
+            probe_s = _health.PROBE_INTERVAL_S - self.since_last_call_s(now_s)
             return max(pause_s, probe_s)
-        return max(pause_s, self.avoided_for_s(now_s))
+        return max(pause_s, self.health.avoided_for_s(now_s))
 
     # ---- calls ----
 
@@ -233,9 +154,7 @@
         """Sends a call, now or as soon as a connection is free."""
         call.endpoint_id = self.entry.endpoint_id
         call.submitted_s = self._last_call_s = trio.current_time()
-        heapq.heappush(
-            self._waiting, (call.priority, next(self._submit_order), call)
-        )
+        self._waiting.push(call)
         self._dispatch()
 
     def abandon(self, call: _call.Call, now_s: float) -> None:
@@ -272,9 +191,9 @@
     ) -> None:
         # An endpoint that has answered other calls since this one was sent is
         # healthy; the request itself takes long.
-        if self._last_reply_s <= call.sent_s:
-            self.failure_share += FAILURE_WEIGHT * (1 - self.failure_share)
-            self._record_failure(now_s)
+        if self.health.last_reply_s <= call.sent_s:
+            self.health.record_result(failed=True)
+            self.health.record_failure(now_s)
         call.aborted = True
         link.close()
 
@@ -284,12 +203,12 @@
         for link in list(self._links):
             if link.call is None:
                 link.close()
-        self._reject_waiting("the endpoint was removed")
+        self._waiting.reject_all("the endpoint was removed")
 
     def _dispatch(self) -> None:
-        held: list[tuple[int, int, _call.Call]] = []
+        held: list[_call_queue.QueuedCall] = []
         while self._waiting:
-            queued = heapq.heappop(self._waiting)
+            queued = self._waiting.pop()
             call = queued[2]
             if call.done:
                 continue
@@ -301,8 +220,8 @@
             if not self._free_links:
                 break
         for queued in held:
-            heapq.heappush(self._waiting, queued)
-        needed = sum(not queued[2].done for queued in self._waiting)
+            self._waiting.restore(queued)
+        needed = self._waiting.count_pending()
         if self._opening_count < needed:
             self._make_room()
         while self._opening_count < needed and self.link_count < self.max_links:
@@ -344,14 +263,12 @@
         if link.start(call, data):
             self._running[call] = link
             if self.rate_limit_per_s is not None:
-                self._limited_calls += 1
+                self.rate_statement.count_call()
                 self._metrics.limited_calls.labels(call.cause.value).inc()
         else:
             # The connection was closed before the call was sent; another one
             # may work.
-            heapq.heappush(
-                self._waiting, (call.priority, next(self._submit_order), call)
-            )
+            self._waiting.push(call)
 
     def _open_link(self) -> None:
         self._opening_count += 1
@@ -382,8 +299,7 @@
             # The endpoint accepts connections again; the next call shows
             # whether it answers.
             self._reconnecting = False
-            self._consecutive_failures = 0
-            self._avoid_until_s = 0.0
+            self.health.end_avoidance()
         await self._run_open_link(link)
 
     async def _run_open_link(self, link: _link.Link) -> None:
@@ -401,10 +317,10 @@
             error,
         )
         now_s = trio.current_time()
-        self._record_failure(now_s)
+        self.health.record_failure(now_s)
         if not self._links and not self._opening_count:
-            self._reject_waiting(f"cannot connect: {error}")
-            if self.is_down(now_s) and not self._reconnecting:
+            self._waiting.reject_all(f"cannot connect: {error}")
+            if self.health.is_down(now_s) and not self._reconnecting:
                 self._reconnecting = True
                 self._spawner.start_soon(self._reconnect)
 
@@ -414,11 +330,6 @@
             await trio.sleep(RECONNECT_INTERVAL_S)
             self.preconnect()
 
-    def _reject_waiting(self, detail: str) -> None:
-        waiting, self._waiting = self._waiting, []
-        for _, _, call in waiting:
-            call.finish(_call.Reply(_call.Outcome.NOT_SENT, detail))
-
     # ---- called by links ----
 
     def on_link_free(self, link: _link.Link) -> None:
@@ -445,40 +356,13 @@
         """Records the outcome of a call, and delivers its reply."""
         self._running.pop(call, None)
         if reply.connection_lost and not call.done:
-            self._lost_calls.append((call, reply))
-            if len(self._lost_calls) == 1:
+            if self._end_check.add(call, reply):
                 self._spawner.start_soon(self._run_link, self._check_end)
             return
         self._deliver(call, reply)
 
     async def _check_end(self) -> None:
-        """Finds out whether the endpoint has ended or only closed connections.
-
-        The calls that it lost wait for this: a request that ends each endpoint
-        must not be repeated, but one whose answer was lost may be.
-        """
-        link: _link.Link | None = None
-        ended = False
-        try:
-            with trio.move_on_after(END_CHECK_TIMEOUT_S):
-                link = await self._factory.connect(self.entry)
-        except ConnectionRefusedError:
-            ended = True
-        except OSError as error:
-            _LOG.info(
-                "forward: cannot connect again to endpoint %s of %s: %s",
-                self.entry.endpoint_id,
-                self.entry.service,
-                error,
-            )
-        finally:
-            lost_calls, self._lost_calls = self._lost_calls, []
-            started_ms = self.entry.started_ms
-            for call, reply in lost_calls:
-                call.instance_name = f"{call.endpoint_id}@{started_ms}"
-                self._deliver(
-                    call, dataclasses.replace(reply, endpoint_ended=ended)
-                )
+        link = await self._end_check.run(self.entry)
         if link is not None:
             await self._run_open_link(link)
 
@@ -493,28 +377,22 @@
         """Stops using an endpoint that shuts down or asks for a pause."""
         if reply.leaving and not self.wishes.leaving:
             self.wishes.leaving = True
-            self._log_wish("an endpoint states that it shuts down")
-            self._reject_waiting("the endpoint shuts down")
+            _statements.log_wish(
+                self.entry, "an endpoint states that it shuts down"
+            )
+            self._waiting.reject_all("the endpoint shuts down")
         if reply.pause_s <= 0:
             return
         now_s = trio.current_time()
-        if not self.is_paused(now_s):
-            self._log_wish("an endpoint wants no requests for some time", reply)
+        if not self.wishes.is_paused(now_s):
+            _statements.log_wish(
+                self.entry,
+                "an endpoint wants no requests for some time",
+                reply.pause_s,
+            )
         until_s = now_s + reply.pause_s
         self.wishes.paused_until_s = max(self.wishes.paused_until_s, until_s)
-        self._reject_waiting("the endpoint wants no requests at present")
-
-    def _log_wish(self, message: str, reply: _call.Reply | None = None) -> None:
-        _LOG.info(
-            "forward: %s",
-            message,
-            extra=observe.fields(
-                endpoint=self.entry.endpoint_id,
-                service=self.entry.service,
-                state=self.entry.state.value,
-                pause_s=reply.pause_s if reply is not None else None,
-            ),
-        )
+        self._waiting.reject_all("the endpoint wants no requests at present")
 
     def _record_rate_limit(self, reply: _call.Reply) -> None:
         limit_per_s = reply.rate_limit_per_s
@@ -536,39 +414,11 @@
                 None for an answer without a limit.
             observed_s: When that node got the answer, on the monotonic clock.
         """
-        if observed_s < self.limit_observed_s:
-            return
-        self.limit_observed_s = observed_s
-        if limit_per_s == self.rate_limit_per_s:
-            return
-        now_s = trio.current_time()
-        began_or_ended = None in (limit_per_s, self.rate_limit_per_s)
-        if self.rate_limit_per_s is None:
-            self.limited_since_s = now_s
-        self.rate_limit_per_s = limit_per_s
-        # An endpoint may state another value in each answer.
-        if (
-            began_or_ended
-            or now_s >= self._limit_logged_at_s + LIMIT_LOG_INTERVAL_S
-        ):
-            self._log_rate_limit(now_s)
-
-    def _log_rate_limit(self, now_s: float) -> None:
-        _LOG.info(
-            "forward: an endpoint changed its request rate limit",
-            extra=observe.fields(
-                endpoint=self.entry.endpoint_id,
-                service=self.entry.service,
-                limit_per_s=self.rate_limit_per_s,
-                earlier_limit_per_s=self._logged_limit_per_s,
-                calls_at_earlier_limit=self._limited_calls,
-            ),
+        self.rate_statement.observe(
+            self.entry, limit_per_s, observed_s, trio.current_time()
         )
-        self._limit_logged_at_s = now_s
-        self._logged_limit_per_s = self.rate_limit_per_s
-        self._limited_calls = 0
 
-    # ---- health ----
+    # ---- outcomes of calls ----
 
     def _record_outcome(self, call: _call.Call, reply: _call.Reply) -> None:
         now_s = trio.current_time()
@@ -577,19 +427,16 @@
             return
         outcome = reply.outcome
         if outcome in (_call.Outcome.ANSWERED, _call.Outcome.FAILED):
-            self._last_reply_s = now_s
-            took_ms = (now_s - call.sent_s) * 1000
-            self.latency_ms += LATENCY_WEIGHT * (took_ms - self.latency_ms)
+            self.health.record_reply(now_s, (now_s - call.sent_s) * 1000)
         failed = outcome is not _call.Outcome.ANSWERED
-        self.failure_share += FAILURE_WEIGHT * (failed - self.failure_share)
+        self.health.record_result(failed=failed)
         if outcome is _call.Outcome.ANSWERED:
-            self._consecutive_failures = 0
-            self._avoid_until_s = 0.0
+            self.health.end_avoidance()
         elif outcome is _call.Outcome.MISDIRECTED:
             self.address_reused = True
-            self._reject_waiting("another endpoint has the address")
+            self._waiting.reject_all("another endpoint has the address")
         elif outcome is not _call.Outcome.REJECTED and not call.done:
-            self._record_failure(now_s)
+            self.health.record_failure(now_s)
 
     def _count_version(
         self, call: _call.Call, reply: _call.Reply, now_s: float
@@ -608,13 +455,6 @@
             self.entry.service, self.entry.version, call.route, answer
         )
 
-    def _record_failure(self, now_s: float) -> None:
-        if self.is_avoided(now_s):
-            return
-        avoid_s = min(AVOID_MIN_S * 2**self._consecutive_failures, AVOID_MAX_S)
-        self._consecutive_failures = min(self._consecutive_failures + 1, 10)
-        self._avoid_until_s = now_s + avoid_s
-
     def dump(self) -> dict[str, Any]:
         """Returns the state for the state dump."""
         now_s = trio.current_time()
@@ -624,10 +464,10 @@
             "running": len(self._running),
             "waiting": len(self._waiting),
             "connections": self.link_count,
-            "latency_ms": round(self.latency_ms, 1),
-            "failure_share": round(self.failure_share, 3),
-            "avoided_for_s": round(self.avoided_for_s(now_s), 2),
-            "paused": self.is_paused(now_s),
+            "latency_ms": round(self.health.latency_ms, 1),
+            "failure_share": round(self.health.failure_share, 3),
+            "avoided_for_s": round(self.health.avoided_for_s(now_s), 2),
+            "paused": self.wishes.is_paused(now_s),
             "leaving": self.wishes.leaving,
             "stalled": self.is_stalled(now_s),
             "rate_limit_per_s": self.rate_limit_per_s,
