Split the pool of endpoints by what it decides

forward/_endpoints (755 lines) kept the registered endpoints, knew the nodes that share them, divided connections, limited rates, compared costs and judged whether a service can answer. Now _sharing, _subset, _limits, _choice and _availability each make one of these decisions, and _endpoints keeps the endpoints (431 lines). Behaviour is unchanged: the same conditions in the same order, with the same draws of random numbers.

tests.test_forward replaced the pool's settings after its construction, which no longer reaches the module that reads them; it now passes the node's id to the fixture, as the next test does. Its checks are the same.

Ran: tests.test_forward, _repeats, _grants, _delegation, _suspects, _rates, test_gateway, test_gateway_rollouts, test_delegation_nodes, test_platform: OK.

--- a/src/geraniumstair/forward/__init__.py
+++ b/src/geraniumstair/forward/__init__.py
@@ -18,7 +18,6 @@
 from geraniumstair.forward._delegation_nodes import select_delegation_peers
 from geraniumstair.forward._delegation_nodes import select_inter_zone_nodes
 from geraniumstair.forward._endpoints import EndpointPool
-from geraniumstair.forward._endpoints import PoolSettings
 from geraniumstair.forward._forwarder import Forwarder
 from geraniumstair.forward._grants import LimitGrants
 from geraniumstair.forward._link import Link
@@ -26,6 +25,7 @@
 from geraniumstair.forward._link import TcpLinkFactory
 from geraniumstair.forward._metrics import ForwardMetrics
 from geraniumstair.forward._parts_server import PartsServer
+from geraniumstair.forward._pool_settings import PoolSettings
 from geraniumstair.forward._rates import RateLimit
 from geraniumstair.forward._rates import StatedLimits
 from geraniumstair.forward._rates import TokenBucket
--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -36,6 +36,7 @@
 from geraniumstair.forward import _call
 from geraniumstair.forward import _delegation_nodes
 from geraniumstair.forward import _endpoints
+from geraniumstair.forward import _sharing
 
 _LOG = logging.getLogger(__name__)
 # For fewer shards, the savings don't outweigh the message and the time of the
@@ -355,7 +356,7 @@
     def _group_shards(self, shards: Sequence[str]) -> list["_ZoneGroup"]:
         zones_of = {s: self._pool.healthy_zones(s) for s in shards}
         by_zone = self._group_by_zone(zones_of)
-        if len(shards) < _endpoints.LARGE_SEARCH_SHARDS:
+        if len(shards) < _sharing.LARGE_SEARCH_SHARDS:
             return [
                 _ZoneGroup(zone, "", zone_shards)
                 for zone, zone_shards in by_zone
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -612,8 +612,8 @@
                     [builders.route()],
                     limits={"warmup_per_s": 10.0, "warmup_s": 9.0},
                     members=members,
+                    node_id=member,
                 )
-                fixture.pool._settings = forward.PoolSettings(member, "a", 1.0)
                 sent += sum(
                     fixture.pool.choose_replica("s1", ()) is not None
                     for _ in range(50)
