Split a search by what it decides

forward/_search (731 lines) made calls, asked other nodes for groups of shards, kept requests from ending one endpoint after the other, and decided when it was complete. Now _search_calls, _search_groups, _search_ends and _search_completion each do one of these over a shared _search_state, and _search (298 lines) runs them. Behaviour is unchanged. The protocol of request handlers declares their number of repeats as read-only, which a search now computes from its state.

Considered: functions over the state instead of classes; the modules would pass each other as arguments.

Ran: tests.test_forward, _repeats, _grants, _delegation, _suspects, _admission, _load, test_gateway, test_platform, test_docs: OK.

--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -18,6 +18,7 @@
 from geraniumstair.forward import _report
 from geraniumstair.forward import _result
 from geraniumstair.forward import _search
+from geraniumstair.forward import _search_completion
 from geraniumstair.forward import _shard
 from geraniumstair.forward import _single
 from geraniumstair.forward import _suspects
@@ -159,7 +160,7 @@
             request,
             route,
             route.shards,
-            _search.compute_required_parts(route),
+            _search_completion.compute_required_parts(route),
             self._delegation,
         )
 
--- a/src/geraniumstair/forward/_report.py
+++ b/src/geraniumstair/forward/_report.py
@@ -24,7 +24,10 @@
 class RequestHandler(Protocol):
     """The object that handled a forwarded request."""
 
-    repeats: int
+    @property
+    def repeats(self) -> int:
+        """Number of calls beyond the first ones."""
+        ...
 
     def describe(self) -> Mapping[str, Any]:
         """Returns the data that its decisions were based on."""
