Decode client accounts and carry them with requests

The configuration may hold accounts with keys and a priority, and routes that need no key. The table of routes holds a directory that finds an account by a keyed digest, and requests and requests for parts carry the account's name. Nothing sets it yet. The priority of an account replaces that of the route in Forwarder.forward and gather, so that the modules which are being split need no change besides the type of a priority.

Considered: the priority in PartsRequest. The node that calls the shards looks the account up in its own table instead, which is never older. An account with a name that no header can carry is left out, rather than the whole configuration, so that keys revoked with it end all the same.

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -761,6 +761,16 @@
     fields: list[list[bytes]]
     body: bytes
     has_body: bool
+    account: (
+        Annotated[
+            str,
+            Meta(description="Name of the caller's account; empty without an account."),
+        ]
+        | UnsetType
+    ) = ""
+    """
+    Name of the caller's account; empty without an account.
+    """
 
 
 class PartsEnd(Message):
--- a/src/geraniumstair/forward/_call.py
+++ b/src/geraniumstair/forward/_call.py
@@ -93,6 +93,8 @@
         received_s: Time of receipt, on the monotonic clock.
         remaining_ms: How long the caller will wait after the receipt; None if
             the caller did not state it.
+        account: Name of the caller's account; empty without an account.
+        priority: Replaces the route's priority; None leaves it.
     """
 
     request_id: bytes
@@ -105,6 +107,8 @@
     has_body: bool
     received_s: float
     remaining_ms: float | None
+    account: str = ""
+    priority: float | None = None
 
 
 class PreparedRequest(Protocol):
@@ -168,7 +172,7 @@
 
     prepared: PreparedRequest
     deadline_s: float
-    priority: int
+    priority: float
     idempotent: bool
     on_finished: Callable[["Call", Reply], None]
     service: str
--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -445,6 +445,7 @@
         fields=[list(field) for field in request.fields],
         body=request.body,
         has_body=request.has_body,
+        account=request.account,
     )
 
 
--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 from typing import Any
 
 import trio
@@ -75,7 +76,7 @@
         ] = {}
         self._admission = _admission.AdmissionControl(trio.current_time)
         # Lowest priority number of the routes to each set of shards so far.
-        self._urgent_priorities: dict[tuple[str, ...], int] = {}
+        self._urgent_priorities: dict[tuple[str, ...], float] = {}
 
     async def run(self) -> None:
         """Sweeps the endpoint pool and reports repeats, until cancelled."""
@@ -101,9 +102,10 @@
     ) -> _result.ForwardResult:
         """Serves one request.
 
-        If the task is cancelled because the caller disconnected, its calls are
-        abandoned.
+        The request's priority replaces the route's. If the task is cancelled
+        because the caller disconnected, its calls are abandoned.
         """
+        route = _apply_priority(request, route)
         if self._context.suspects.is_blocked(request):
             return self._report(
                 request, route, _build_suspect_refusal(), _NO_HANDLER
@@ -178,6 +180,7 @@
             The result, and the outcome of each shard, in order. The answered
             ones are in the order of the signatures.
         """
+        route = _apply_priority(request, route)
         search = _search.Search(
             self._context, request, route, shards, 1, for_node=True
         )
@@ -206,6 +209,15 @@
 _NO_HANDLER = _Unhandled()
 
 
+def _apply_priority(
+    request: _call.CallerRequest, route: routing.Route
+) -> routing.Route:
+    """Returns the route with the priority of the caller's account."""
+    if request.priority is None or request.priority == route.priority:
+        return route
+    return dataclasses.replace(route, priority=request.priority)
+
+
 def _build_suspect_refusal() -> _result.Refused:
     return _result.Refused(
         _result.RefusalReason.SUSPECT,
--- a/src/geraniumstair/forward/_parts_server.py
+++ b/src/geraniumstair/forward/_parts_server.py
@@ -81,7 +81,7 @@
             self._scopes[key] = scope
             try:
                 outcome, shard_outcomes = await self._gatherer.gather(
-                    _decode_request(message),
+                    self._decode_request(message),
                     route,
                     tuple(message.shards),
                 )
@@ -113,6 +113,31 @@
             return "the route or its shards have changed"
         return route
 
+    def _decode_request(
+        self, message: messages.PartsRequest
+    ) -> _call.CallerRequest:
+        elapsed_ms = message.elapsed_ms
+        account_name = message.account or ""
+        table = self._routes.table
+        account = table.find_account(account_name) if table else None
+        remaining_ms = None
+        if message.remaining_ms >= 0:
+            remaining_ms = message.remaining_ms + elapsed_ms
+        return _call.CallerRequest(
+            request_id=message.request_id,
+            method=message.method,
+            target=message.target,
+            host=message.host,
+            path=message.path,
+            fields=[(field[0], field[1]) for field in message.fields],
+            body=message.body,
+            has_body=message.has_body,
+            received_s=trio.current_time() - elapsed_ms / 1000,
+            remaining_ms=remaining_ms,
+            account=account_name,
+            priority=account.priority if account else None,
+        )
+
 
 def _decline(
     reason: str,
@@ -158,22 +183,3 @@
         ran = not outcome.not_run
         return _decline(outcome.detail, ran=ran, tried=tried, ended=ended)
     return _decline("the route is not a search", ran=True)
-
-
-def _decode_request(message: messages.PartsRequest) -> _call.CallerRequest:
-    elapsed_ms = message.elapsed_ms
-    remaining_ms = None
-    if message.remaining_ms >= 0:
-        remaining_ms = message.remaining_ms + elapsed_ms
-    return _call.CallerRequest(
-        request_id=message.request_id,
-        method=message.method,
-        target=message.target,
-        host=message.host,
-        path=message.path,
-        fields=[(field[0], field[1]) for field in message.fields],
-        body=message.body,
-        has_body=message.has_body,
-        received_s=trio.current_time() - elapsed_ms / 1000,
-        remaining_ms=remaining_ms,
-    )
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -141,7 +141,7 @@
         self._links: set[_link.Link] = set()
         self._free_links: list[_link.Link] = []
         self._opening_count = 0
-        self._waiting: list[tuple[int, int, _call.Call]] = []
+        self._waiting: list[tuple[float, int, _call.Call]] = []
         self._submit_order = itertools.count()
         self._running: dict[_call.Call, _link.Link] = {}
         self._avoid_until_s = 0.0
@@ -287,7 +287,7 @@
         self._reject_waiting("the endpoint was removed")
 
     def _dispatch(self) -> None:
-        held: list[tuple[int, int, _call.Call]] = []
+        held: list[tuple[float, int, _call.Call]] = []
         while self._waiting:
             queued = heapq.heappop(self._waiting)
             call = queued[2]
--- a/src/geraniumstair/platform/_decoder.py
+++ b/src/geraniumstair/platform/_decoder.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from geraniumstair import accounts
 from geraniumstair import canary
 from geraniumstair import discovery
 from geraniumstair import gateway
@@ -15,7 +16,7 @@
 
 _LOG = logging.getLogger(__name__)
 _T = TypeVar("_T")
-_CONFIG_KEY = "op/config"
+CONFIG_KEY = "op/config"
 _EVACUATION_PREFIX = "op/evacuate/"
 _SERVER_PREFIX = "servers/"
 _ROLLOUT_PREFIX = "op/rollout/"
@@ -60,6 +61,7 @@
     )
     top_k: int = msgspec.field(name="TopK", default=0)
     min_coverage: float = msgspec.field(name="MinShardRatio", default=0.0)
+    keyless: bool = msgspec.field(name="Keyless", default=False)
 
 
 class _Service(msgspec.Struct):
@@ -69,6 +71,12 @@
     warmup_per_s: float = msgspec.field(name="WarmupPerS", default=0.0)
 
 
+class _Tenant(msgspec.Struct):
+    name: str = msgspec.field(name="Name")
+    keys: list[str] = msgspec.field(name="ApiKeys", default_factory=list)
+    priority: float | None = msgspec.field(name="Priority", default=None)
+
+
 class _Limits(msgspec.Struct):
     max_body_bytes: int = msgspec.field(
         name="MaxBodyBytes", default=1024 * 1024
@@ -82,6 +90,7 @@
         name="Services", default_factory=list
     )
     limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
+    tenants: list[_Tenant] | None = msgspec.field(name="Tenants", default=None)
 
 
 class _Server(msgspec.Struct):
@@ -111,7 +120,7 @@
 
     def decode(self, item: mirror.MirrorItem) -> gateway.StateChange | None:
         """Returns the change that an item makes; None if it makes none."""
-        if item.key == _CONFIG_KEY:
+        if item.key == CONFIG_KEY:
             return self._decode_config(item)
         if item.key.startswith(_SERVER_PREFIX):
             return self._decode_server(item)
@@ -259,9 +268,35 @@
             for s in config.services
         },
         routing.CallerLimits(max_body_bytes=config.limits.max_body_bytes),
+        _build_directory(config.tenants),
     )
 
 
+def _build_directory(
+    tenants: list[_Tenant] | None,
+) -> accounts.AccountDirectory | None:
+    if tenants is None:
+        return None
+    entries = []
+    for tenant in tenants:
+        # The name becomes the value of a header, and an empty one means that a
+        # request has no account. The other accounts stay usable, so that a
+        # fault in one does not keep a revoked key of another in force.
+        if not tenant.name or not tenant.name.isprintable():
+            _LOG.error("platform: ignored a client account with a bad name")
+            continue
+        keys = [key.encode() for key in tenant.keys]
+        entries.append((accounts.Account(tenant.name, tenant.priority), keys))
+    directory = accounts.AccountDirectory(entries)
+    if directory.shared_key_accounts:
+        _LOG.error(
+            "platform: some accounts have a key of an earlier one, which gets "
+            "their requests: %s",
+            ", ".join(sorted(directory.shared_key_accounts)),
+        )
+    return directory
+
+
 def _build_route(route: _Route) -> routing.Route:
     parts = tuple(
         routing.SplitPart(part.service, part.weight) for part in route.split
@@ -282,4 +317,5 @@
         shards=tuple(dict.fromkeys(route.shards)),
         top_k=route.top_k,
         min_coverage=route.min_coverage,
+        keyless=route.keyless,
     )
--- a/src/geraniumstair/routing/_table.py
+++ b/src/geraniumstair/routing/_table.py
@@ -5,6 +5,8 @@
 from collections.abc import Sequence
 import dataclasses
 
+from geraniumstair import accounts
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SplitPart:
@@ -26,12 +28,14 @@
         max_attempts: Endpoints that one request may run on, for each shard.
         timeout_ms: Longest time that a caller is kept waiting.
         latency_goal_ms: Target time for an answer; a later one has less value.
-        priority: Priority; 0 is the most urgent.
+        priority: Priority; 0 is the most urgent. The priority of an account
+            replaces it.
         parts: Services that share the requests by weight; one for a plain
             route, none for a search.
         shards: Services that are each asked for a part; none for a plain route.
         top_k: Records in the answer of a search.
         min_coverage: Least share of shards in an answer, 0 to 1.
+        keyless: Callers need no key, even if the site has accounts.
     """
 
     name: str
@@ -41,11 +45,12 @@
     max_attempts: int
     timeout_ms: float
     latency_goal_ms: float
-    priority: int
+    priority: float
     parts: tuple[SplitPart, ...] = ()
     shards: tuple[str, ...] = ()
     top_k: int = 0
     min_coverage: float = 0.0
+    keyless: bool = False
 
     @property
     def is_search(self) -> bool:
@@ -93,6 +98,7 @@
         routes: The routes.
         services: Limits by service; other services have the defaults.
         limits: Limits of callers' requests.
+        accounts: The client accounts; None if callers need no keys.
     """
 
     def __init__(
@@ -101,8 +107,10 @@
         routes: Iterable[Route],
         services: Mapping[str, ServiceLimits],
         limits: CallerLimits,
+        accounts: accounts.AccountDirectory | None = None,
     ) -> None:
         self.version = version
+        self.accounts = accounts
         self.limits = limits
         self._services = dict(services)
         self._by_host: dict[str, list[Route]] = {}
@@ -123,6 +131,10 @@
                 return route
         return None
 
+    def find_account(self, name: str) -> accounts.Account | None:
+        """Returns the account with a name; None if there is none."""
+        return self.accounts.find_by_name(name) if self.accounts else None
+
     def service_limits(self, service: str) -> ServiceLimits:
         """Returns the limits of a service."""
         return self._services.get(service, ServiceLimits())
