Check callers' keys, with a bound on the time until revocation

Callers that a revoked key still admits were not known to the program at all. The authenticator runs after the route match: no configuration 503, no route 404, then the freshness of the configuration 503, then the key 401. The account's name replaces the caller's headers.

Freshness is the latest time at which the mirror certainly held every change. It comes from reads and watches of the store, from peers, whose notices prove their age by echoed counters, and from a read of the configuration's key when it grows old. mirror/_completeness.py keeps its weaker definition, because it trusts the arrival of messages and other behaviour depends on it; both learn at the same places.

Considered: applying the item of the configuration's read alone. It would raise the newest revision above the mirror's position, and peers would then copy the whole contents; a watch call brings the changes in order. Considered: an optional object in MirrorNotice. Its generated default cannot be encoded, so it is an array of at most one (one byte when empty).

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -611,64 +611,40 @@
     start_ms: int
 
 
-class MirrorNotice(Message):
+class MirrorExchange(Message):
     """
-    Tells a peer up to which change of the store this node knows.
+    Proves how fresh the sender's mirror is, however long the notice was on its way.
     """
 
-    newest: Annotated[
-        int,
-        Meta(
-            description="Greatest revision at which an item of the mirror may have changed."
-        ),
+    counter: Annotated[
+        int, Meta(description="Rises with each round of notices of the sender.")
     ]
     """
-    Greatest revision at which an item of the mirror may have changed.
+    Rises with each round of notices of the sender.
     """
-    watch_age_ms: Annotated[
-        float,
+    echo: Annotated[
+        int,
         Meta(
-            description="Time since some node's watch of the store worked; negative if unknown."
+            description="Counter that the sender last received from the receiver; 0 for none."
         ),
     ]
     """
-    Time since some node's watch of the store worked; negative if unknown.
-    """
-    wants_notices: (
-        Annotated[
-            bool,
-            Meta(
-                description="The sender counts the receiver among its neighbours and relies on its notices."
-            ),
-        ]
-        | UnsetType
-    ) = False
-    """
-    The sender counts the receiver among its neighbours and relies on its notices.
+    Counter that the sender last received from the receiver; 0 for none.
     """
-    complete_age_ms: (
-        Annotated[
-            float,
-            Meta(
-                description="Time since the sender's mirror held every change of the store; negative if unknown."
-            ),
-        ]
-        | UnsetType
-    ) = -1
+    held_ms: Annotated[
+        int, Meta(description="How long the sender has held that counter.")
+    ]
     """
-    Time since the sender's mirror held every change of the store; negative if unknown.
+    How long the sender has held that counter.
     """
-    watch_failure_age_ms: (
-        Annotated[
-            float,
-            Meta(
-                description="Time since some node's watch of the store failed; negative if there was no failure of late."
-            ),
-        ]
-        | UnsetType
-    ) = -1
+    age_ms: Annotated[
+        int,
+        Meta(
+            description="Time since the sender's mirror certainly held every change of the store; negative if unknown or long ago."
+        ),
+    ]
     """
-    Time since some node's watch of the store failed; negative if there was no failure of late.
+    Time since the sender's mirror certainly held every change of the store; negative if unknown or long ago.
     """
 
 
@@ -901,3 +877,76 @@
     """
 
     shards: list[ShardName]
+
+
+class MirrorNotice(Message):
+    """
+    Tells a peer up to which change of the store this node knows.
+    """
+
+    newest: Annotated[
+        int,
+        Meta(
+            description="Greatest revision at which an item of the mirror may have changed."
+        ),
+    ]
+    """
+    Greatest revision at which an item of the mirror may have changed.
+    """
+    watch_age_ms: Annotated[
+        float,
+        Meta(
+            description="Time since some node's watch of the store worked; negative if unknown."
+        ),
+    ]
+    """
+    Time since some node's watch of the store worked; negative if unknown.
+    """
+    wants_notices: (
+        Annotated[
+            bool,
+            Meta(
+                description="The sender counts the receiver among its neighbours and relies on its notices."
+            ),
+        ]
+        | UnsetType
+    ) = False
+    """
+    The sender counts the receiver among its neighbours and relies on its notices.
+    """
+    complete_age_ms: (
+        Annotated[
+            float,
+            Meta(
+                description="Time since the sender's mirror held every change of the store; negative if unknown."
+            ),
+        ]
+        | UnsetType
+    ) = -1
+    """
+    Time since the sender's mirror held every change of the store; negative if unknown.
+    """
+    watch_failure_age_ms: (
+        Annotated[
+            float,
+            Meta(
+                description="Time since some node's watch of the store failed; negative if there was no failure of late."
+            ),
+        ]
+        | UnsetType
+    ) = -1
+    """
+    Time since some node's watch of the store failed; negative if there was no failure of late.
+    """
+    exchange: (
+        Annotated[
+            list[MirrorExchange],
+            Meta(
+                description="Freshness of the sender's mirror; empty while nothing depends on it."
+            ),
+        ]
+        | UnsetType
+    ) = field(default_factory=list)
+    """
+    Freshness of the sender's mirror; empty while nothing depends on it.
+    """
--- a/src/geraniumstair/forward/_result.py
+++ b/src/geraniumstair/forward/_result.py
@@ -17,6 +17,8 @@
     ENDPOINT_FAILED = "endpoint_failed"
     OVERLOADED = "overloaded"
     SUSPECT = "suspect"
+    UNKNOWN_KEY = "unknown_key"
+    ACCOUNTS_STALE = "accounts_stale"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/geraniumstair/gateway/_application.py
+++ b/src/geraniumstair/gateway/_application.py
@@ -17,6 +17,7 @@
 from geraniumstair import listeners
 from geraniumstair import observe
 from geraniumstair import routing
+from geraniumstair.gateway import _authentication
 from geraniumstair.gateway import _lifecycle
 
 _LOG = logging.getLogger(__name__)
@@ -58,7 +59,7 @@
     body: bytes = b""
 
 
-class CallerCodec(Protocol):
+class CallerCodec(_authentication.KeyCodec, Protocol):
     """Converts between HTTP messages of callers and internal requests."""
 
     def parse(
@@ -94,6 +95,8 @@
         forwarder: Forwards requests to endpoints.
         codec: Converts HTTP messages of callers.
         lifecycle: Reports whether the node is stopping.
+        authenticator: Admits requests by their keys; None checks them without
+            a bound on revocation.
     """
 
     def __init__(
@@ -102,7 +105,11 @@
         forwarder: forward.Forwarder,
         codec: CallerCodec,
         lifecycle: _lifecycle.Lifecycle,
+        authenticator: _authentication.Authenticator | None = None,
     ) -> None:
+        self._authenticator = authenticator or _authentication.Authenticator(
+            codec
+        )
         self._state = state
         self._forwarder = forwarder
         self._codec = codec
@@ -154,17 +161,16 @@
         if isinstance(parsed, result.Err):
             _LOG.info("gateway: refused a request: %s", parsed.err_value)
             return HttpResponse(400, [], parsed.err_value.encode())
-        request = parsed.ok_value
-        refusal, route = self._find_route(request)
-        if refusal is not None or route is None:
-            return self._codec.render(
-                refusal or _build_no_route_refusal("no route")
-            )
+        admitted = self._admit(parsed.ok_value)
+        if isinstance(admitted, forward.Refused):
+            return self._codec.render(admitted)
+        request, route = admitted
         return await self._forward(request, route, receive)
 
-    def _find_route(
+    def _admit(
         self, request: forward.CallerRequest
-    ) -> tuple[forward.Refused | None, routing.Route | None]:
+    ) -> forward.Refused | tuple[forward.CallerRequest, routing.Route]:
+        """Returns the request to forward and its route, or a refusal."""
         # The routes in force now may be newer than the version whose limits
         # applied to the body.
         table = self._state.table
@@ -175,13 +181,12 @@
                     request_id=request.request_id.decode("latin-1")
                 ),
             )
-            refusal = forward.Refused(
+            return forward.Refused(
                 forward.RefusalReason.NO_CONFIGURATION,
                 True,
                 RETRY_AFTER_NO_ROUTES_S,
                 "no version of the routes has been loaded yet",
             )
-            return refusal, None
         route = table.match(request.host, request.path)
         if route is None:
             detail = f"version {table.version} of the routes has no match"
@@ -194,8 +199,11 @@
                     path=request.path,
                 ),
             )
-            return _build_no_route_refusal(detail), None
-        return None, route
+            return _build_no_route_refusal(detail)
+        admitted = self._authenticator.admit(request, route, table)
+        if isinstance(admitted, forward.Refused):
+            return admitted
+        return admitted, route
 
     async def _forward(
         self,
--- a/src/geraniumstair/gateway/_lifecycle.py
+++ b/src/geraniumstair/gateway/_lifecycle.py
@@ -1,5 +1,6 @@
 """Readiness and graceful shutdown of a node."""
 
+from collections.abc import Callable
 import logging
 
 import trio
@@ -25,6 +26,7 @@
 
     Attributes:
         loaded: True once the routes and the mirror have been loaded.
+        can_judge_keys: Returns whether callers' keys can be judged now.
     """
 
     def __init__(self, grace_s: float) -> None:
@@ -33,11 +35,16 @@
         self._listener_close = trio.Event()
         self._stop_started = trio.Event()
         self.loaded = False
+        self.can_judge_keys: Callable[[], bool] = lambda: True
 
     @property
     def ready(self) -> bool:
         """True if the load balancer may send new connections."""
-        return self.loaded and self._stopping_at_s is None
+        return (
+            self.loaded
+            and self._stopping_at_s is None
+            and self.can_judge_keys()
+        )
 
     @property
     def stopping(self) -> bool:
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from geraniumstair import accounts
 from geraniumstair import discovery
 from geraniumstair import errors
 from geraniumstair import forward
@@ -22,6 +23,8 @@
 from geraniumstair import peers
 from geraniumstair import wire
 from geraniumstair.gateway import _application
+from geraniumstair.gateway import _configuration_reader
+from geraniumstair.gateway import _key_revocation
 from geraniumstair.gateway import _lifecycle
 from geraniumstair.gateway import _presence
 from geraniumstair.gateway import _rollouts
@@ -34,7 +37,7 @@
 # The settings file may change without a signal, so it is read at this interval.
 RELOAD_INTERVAL_S = 5.0
 # Fields of the settings that take effect without a restart.
-_RELOADABLE_SETTINGS = frozenset(["budget", "seeds"])
+_RELOADABLE_SETTINGS = frozenset(["budget", "revocation", "seeds"])
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +62,7 @@
         processor_cores: CPU time that the node may use, in cores.
         exposure_share: Greatest share of a service's requests that a possibly
             bad version may receive, 0 to 1.
+        revocation: How soon a revoked key stops working.
     """
 
     node_id: str
@@ -76,9 +80,15 @@
     remote_cost_ms: float
     processor_cores: float
     exposure_share: float
+    revocation: accounts.RevocationLimits = accounts.RevocationLimits()
 
 
-class Store(mirror.StoreReader, _presence.LeaseStore, Protocol):
+class Store(
+    mirror.StoreReader,
+    _presence.LeaseStore,
+    _configuration_reader.StoreKeyReader,
+    Protocol,
+):
     """The operations of the platform's store that a node uses."""
 
 
@@ -92,6 +102,7 @@
         encoder: Encodes the rollout status that operators read in the store.
         dialect: Converts requests and responses of endpoints.
         codec: Converts requests and responses of callers.
+        configuration_key: Key of the operator's configuration in the store.
     """
 
     store: Store
@@ -99,6 +110,7 @@
     encoder: _rollouts.RecordEncoder
     dialect: forward.Dialect
     codec: _application.CallerCodec
+    configuration_key: str
 
 
 class GatewayNode:
@@ -126,11 +138,21 @@
             settings.node_id, trio.current_time
         )
         self._completeness = mirror.Completeness(trio.current_time)
+        revocation = _key_revocation.KeyRevocation(settings.revocation)
+        self._key_revocation = revocation
+        self._lifecycle.can_judge_keys = lambda: revocation.check.is_allowed
         self._store_watcher = mirror.StoreWatcher(
             adapters.store,
             self._mirror,
             self._watcher_selection,
             self._completeness,
+            revocation.freshness,
+        )
+        self._configuration_reader = revocation.build_reader(
+            adapters.store,
+            adapters.configuration_key,
+            self._mirror,
+            self._store_watcher,
         )
         self._registry = discovery.EndpointRegistry(
             trio.current_time, settings.drain_s
@@ -152,6 +174,7 @@
             self._store_watcher,
             self._watcher_selection,
             self._completeness,
+            revocation.exchange,
         )
         self._budget = forward.RetryBudget(settings.budget, trio.current_time)
 
@@ -206,6 +229,7 @@
             self._rollouts,
             lambda: self._completeness.changes_since_s,
         )
+        self._key_revocation.find_table = lambda: state.table
         self._delegation = forward.Delegation(
             settings.node_id,
             settings.availability_zone,
@@ -246,12 +270,20 @@
         self._state_dump.register("endpoints", pool.dump)
         self._state_dump.register("mirror", self._dump_mirror)
         self._state_dump.register("rollouts", self._rollouts.dump)
+        self._state_dump.register("accounts", self._key_revocation.dump)
         application = _application.CallerApplication(
-            state, forwarder, self._adapters.codec, self._lifecycle
+            state,
+            forwarder,
+            self._adapters.codec,
+            self._lifecycle,
+            self._key_revocation.build_authenticator(
+                self._adapters.codec, observe.process_metrics()
+            ),
         )
         for task in (
             self._store_watcher.run,
             self._gossip.run,
+            self._configuration_reader.run,
             self._presence.run,
             forwarder.run,
             state.run_expiry_loop,
@@ -304,6 +336,7 @@
         )
         self._settings = settings
         self._budget.set_limits(settings.budget)
+        self._key_revocation.check.limits = settings.revocation
         for seed in settings.seeds:
             if seed != settings.peer_listener:
                 self._network.add_seed(seed)
@@ -377,6 +410,7 @@
             _presence.select_neighbours(self._settings.node_id, zones)
         )
         self._watcher_selection.set_members(members)
+        self._key_revocation.set_members(members)
         self._pool.set_members(nodes)
 
     async def _shut_down(self) -> None:
--- a/src/geraniumstair/mirror/__init__.py
+++ b/src/geraniumstair/mirror/__init__.py
@@ -7,6 +7,9 @@
 """
 
 from geraniumstair.mirror._completeness import Completeness
+from geraniumstair.mirror._exchange import FreshnessExchange
+from geraniumstair.mirror._freshness import Freshness
+from geraniumstair.mirror._freshness import FreshnessSource
 from geraniumstair.mirror._gossip import MirrorGossip
 from geraniumstair.mirror._mirror import Mirror
 from geraniumstair.mirror._mirror import MirrorItem
@@ -16,6 +19,9 @@
 
 __all__ = [
     "Completeness",
+    "Freshness",
+    "FreshnessExchange",
+    "FreshnessSource",
     "Mirror",
     "MirrorGossip",
     "MirrorItem",
--- a/src/geraniumstair/mirror/_gossip.py
+++ b/src/geraniumstair/mirror/_gossip.py
@@ -25,6 +25,7 @@
 from geraniumstair import peers
 from geraniumstair._generated import messages
 from geraniumstair.mirror import _completeness
+from geraniumstair.mirror import _exchange
 from geraniumstair.mirror import _mirror
 from geraniumstair.mirror import _store_watcher
 from geraniumstair.mirror import _watcher_selection
@@ -78,7 +79,9 @@
         watcher: _store_watcher.StoreWatcher,
         selection: _watcher_selection.WatcherSelection,
         completeness: _completeness.Completeness | None = None,
+        exchange: _exchange.FreshnessExchange | None = None,
     ) -> None:
+        self._exchange = exchange
         self._completeness = completeness or _completeness.Completeness(
             trio.current_time
         )
@@ -127,7 +130,10 @@
         neighbours = self._neighbours
         complete_age_ms = _encode_age(self._completeness.age_s)
         failure_age_ms = _encode_age(self._completeness.failure_age_s)
-        for node_id in self._select_notice_targets():
+        targets = self._select_notice_targets()
+        if self._exchange:
+            self._exchange.start_round(self._network.connected_nodes())
+        for node_id in targets:
             if periodic or self._peer_revisions.get(node_id, 0) < newest:
                 notice = messages.MirrorNotice(
                     newest=newest,
@@ -135,6 +141,11 @@
                     wants_notices=neighbours is None or node_id in neighbours,
                     complete_age_ms=complete_age_ms,
                     watch_failure_age_ms=failure_age_ms,
+                    exchange=(
+                        self._exchange.compose(node_id)
+                        if self._exchange
+                        else []
+                    ),
                 )
                 self._network.send(node_id, notice)
                 self._peer_revisions[node_id] = newest
@@ -152,6 +163,7 @@
         return connected & (self._neighbours | self._notices_requested_s.keys())
 
     def _on_items_changed(self, items: Sequence[_mirror.MirrorItem]) -> None:
+        self._settle_claims()
         self._items_changed.set()
 
     async def _notice_loop(self) -> None:
@@ -182,6 +194,11 @@
             self._completeness.record_failure(failure_age_s)
         if notice.wants_notices:
             self._notices_requested_s[sender] = trio.current_time()
+        for exchange in notice.exchange or ():
+            if self._exchange:
+                self._exchange.accept(
+                    sender, notice.newest, exchange, self._mirror.position
+                )
         known = self._peer_revisions.get(sender, 0)
         self._peer_revisions[sender] = max(known, notice.newest)
         if notice.newest > self._mirror.position:
@@ -259,8 +276,13 @@
             self._copy_due_s = min(self._copy_due_s, due_s)
             return
         if advanced:
+            self._settle_claims()
             self._reset_copy()
 
+    def _settle_claims(self) -> None:
+        if self._exchange:
+            self._exchange.settle(self._mirror.position)
+
     def _reset_copy(self) -> None:
         self._incomplete_peers.clear()
         self._copy_due_s = math.inf
--- a/src/geraniumstair/mirror/_store_watcher.py
+++ b/src/geraniumstair/mirror/_store_watcher.py
@@ -10,6 +10,7 @@
 
 from geraniumstair import store
 from geraniumstair.mirror import _completeness
+from geraniumstair.mirror import _freshness
 from geraniumstair.mirror import _mirror
 from geraniumstair.mirror import _watcher_selection
 
@@ -66,6 +67,7 @@
         mirror: Receives the items and changes.
         selection: Decides whether this node is a watcher.
         completeness: Learns when the mirror is complete; None starts a new one.
+        freshness: Learns up to when it certainly is; None starts a new one.
 
     Attributes:
         answered_s: When the store last answered, on trio's clock; None before
@@ -78,7 +80,9 @@
         mirror: _mirror.Mirror,
         selection: _watcher_selection.WatcherSelection,
         completeness: _completeness.Completeness | None = None,
+        freshness: _freshness.Freshness | None = None,
     ) -> None:
+        self._freshness = freshness or _freshness.Freshness(trio.current_time)
         self._source = source
         self._mirror = mirror
         self._selection = selection
@@ -121,6 +125,7 @@
         self._retry_s = min(2 * self._retry_s, max_s)
 
     async def _read_all(self) -> bool:
+        sent_s = self._freshness.now_s()
         reply = await self._source.read_all()
         if isinstance(reply, result.Err):
             _LOG.warning(
@@ -130,6 +135,8 @@
             return False
         items, position = reply.ok_value
         if not self._mirror.replace(items, position):
+            # The mirror may hold more than the read returned, and no less.
+            self._freshness.record(_freshness.FreshnessSource.READ, sent_s)
             # Without a newer revision, the next watch fails as the last one.
             _LOG.warning(
                 "mirror: the read of the store brought no newer revision"
@@ -137,9 +144,19 @@
             return False
         self._record_answer()
         self._completeness.record_complete()
+        self._freshness.record(_freshness.FreshnessSource.READ, sent_s)
         return True
 
+    async def read_changes(self) -> bool:
+        """Applies the changes that this node lacks, also if it is no watcher.
+
+        Returns:
+            False if the store gave no valid answer.
+        """
+        return await self._watch_once()
+
     async def _watch_once(self) -> bool:
+        sent_s = self._freshness.now_s()
         try:
             changes = await self._source.wait_for_changes(
                 self._mirror.position, WATCH_WAIT_MS
@@ -157,6 +174,9 @@
         self._record_answer()
         advanced = self._mirror.apply(items, position)
         self._completeness.record_complete()
+        self._freshness.record_watch(
+            sent_s, WATCH_WAIT_MS / 1000, empty=not items
+        )
         if advanced and items:
             await trio.sleep(BATCH_DELAY_S)
         return True
--- a/src/geraniumstair/platform/_http.py
+++ b/src/geraniumstair/platform/_http.py
@@ -12,6 +12,10 @@
 
 _LOG = logging.getLogger(__name__)
 _REQUEST_ID = b"x-attempt-id"
+_AUTHORIZATION = b"authorization"
+_KEY_SCHEME = b"bearer"
+# Name of the caller's account, for endpoints.
+_ACCOUNT = b"x-tenant"
 # Time for which the sender still waits, in ms.
 _REMAINING_MS = b"x-time-remaining"
 # Id of the intended endpoint; another one at its address answers 421.
@@ -71,7 +75,11 @@
     forward.RefusalReason.ENDPOINT_FAILED: 502,
     forward.RefusalReason.OVERLOADED: 503,
     forward.RefusalReason.SUSPECT: 503,
+    forward.RefusalReason.UNKNOWN_KEY: 401,
+    forward.RefusalReason.ACCOUNTS_STALE: 503,
 }
+# A retry of these would be refused as well, on any node.
+_FINAL_STATUSES = frozenset([401, 404])
 _UNAVAILABLE_STATUS = 503
 _MAX_REMAINING_MS = 3_600_000.0
 _MAX_LOGGED_BYTES = 40
@@ -112,6 +120,30 @@
             )
         )
 
+    def read_key(self, request: forward.CallerRequest) -> bytes | None:
+        """Returns the key; None if it is missing, malformed or ambiguous."""
+        values = [v for n, v in request.fields if n == _AUTHORIZATION]
+        if len(values) != 1:
+            return None
+        scheme, _, key = values[0].partition(b" ")
+        key = key.strip(b" ")
+        if scheme.lower() != _KEY_SCHEME or len(key.split()) != 1:
+            return None
+        return key
+
+    def set_account(
+        self, request: forward.CallerRequest, name: str
+    ) -> forward.CallerRequest:
+        """Returns the request without its key, with the account's name."""
+        fields = [
+            (n, v)
+            for n, v in request.fields
+            if n not in (_AUTHORIZATION, _ACCOUNT)
+        ]
+        if name:
+            fields.append((_ACCOUNT, name.encode()))
+        return dataclasses.replace(request, fields=fields)
+
     def render(self, outcome: forward.ForwardResult) -> gateway.HttpResponse:
         """Returns the response for the outcome of a request."""
         match outcome:
@@ -146,7 +178,7 @@
 
 def _render_refusal(refusal: forward.Refused) -> gateway.HttpResponse:
     status = _REFUSAL_STATUSES[refusal.reason]
-    if status != 404:
+    if status not in _FINAL_STATUSES:
         # Status 503 guarantees that the request has not run.
         if refusal.not_run:
             status = _UNAVAILABLE_STATUS
@@ -155,6 +187,8 @@
     headers = [(b"content-type", b"text/plain")]
     if status == _UNAVAILABLE_STATUS and refusal.retry_after_s is not None:
         headers.append((b"retry-after", b"%.3f" % refusal.retry_after_s))
+    if status == 401:
+        headers.append((b"www-authenticate", b"Bearer"))
     return gateway.HttpResponse(status, headers, refusal.reason.value.encode())
 
 
--- a/src/geraniumstair/platform/_process.py
+++ b/src/geraniumstair/platform/_process.py
@@ -35,6 +35,7 @@
         encoder=_decoder.PlatformEncoder(),
         dialect=_http.PlatformDialect(),
         codec=_http.PlatformCodec(),
+        configuration_key=_decoder.CONFIG_KEY,
     )
 
     def load_gateway_settings() -> gateway.GatewaySettings:
--- a/src/geraniumstair/platform/_settings.py
+++ b/src/geraniumstair/platform/_settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from geraniumstair import accounts
 from geraniumstair import errors
 from geraniumstair import forward
 from geraniumstair import gateway
@@ -39,6 +40,8 @@
     budget_window_s: float = msgspec.field(name="BudgetWindowS", default=10.0)
     budget_slack: float = msgspec.field(name="BudgetSlack", default=20.0)
     exposure_share: float = msgspec.field(name="ExposureShare", default=0.1)
+    strict_revoke: bool = msgspec.field(name="StrictRevoke", default=False)
+    revoke_ms: float = msgspec.field(name="RevokeMs", default=5000.0)
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -132,6 +135,9 @@
             remote_cost_ms=REMOTE_COST_MS,
             processor_cores=settings.limits.core_share * settings.limits.cores,
             exposure_share=bounds.exposure_share,
+            revocation=accounts.RevocationLimits(
+                bounds.strict_revoke, bounds.revoke_ms / 1000
+            ),
         )
     except ValueError as error:
         raise errors.SettingsError(str(error)) from error
