--- a/src/geraniumstair/gateway/_configuration_reader.py
+++ b/src/geraniumstair/gateway/_configuration_reader.py
@@ -90,7 +90,8 @@
         failures = 0
         due_age_s = self._draw_due_age_s()
         while True:
-            if not self._check.is_strict:
+            # Without any contents, the first read of the store comes first.
+            if not self._check.is_strict or not self._mirror.position:
                 await trio.sleep(IDLE_CHECK_INTERVAL_S)
                 continue
             rest_s = due_age_s - self._freshness.age_s
