Close two gaps of the tests of account keys

Missing keys at a node with old freshness, and an answer to the read of the configuration that is held up, now have a check. The test of a frozen node failed about once in two runs, because the fake store delivered a held-up watch, whose call was recent; it now loses it.

--- a/tests/builders_accounts.py
+++ b/tests/builders_accounts.py
@@ -160,7 +160,6 @@
         if self.held:
             with trio.move_on_after(CALL_TIMEOUT_S):
                 await self._released.wait()
-                return reply
         if self.held or self.refusing or self._source.down:
             return result.Err(store.StoreFailure(store.Effect.UNKNOWN, "lost"))
         return reply
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -153,6 +153,7 @@
             (4.69, b"/p/x", False, "x", 401),
             (4.71, b"/p/x", False, _KEY, 503),
             (4.71, b"/p/x", False, "x", 503),
+            (4.71, b"/p/x", False, "", 503),
             (4.71, b"/p/x", True, "x", 200),
             (4.71, b"/other", False, "x", 404),
             (float("inf"), b"/p/x", False, _KEY, 503),
--- a/tests/test_key_freshness.py
+++ b/tests/test_key_freshness.py
@@ -170,8 +170,18 @@
             # One call in about 3 s.
             self.assertGreaterEqual(site.store.calls["get"], 6)
             self.assertLessEqual(site.store.calls["get"], 15)
-            # A newer version stops keys until its changes can be read.
+            # An answer that was held up says nothing of the time since.
+            calls = site.store.calls["get"]
+            while site.store.calls["get"] == calls:
+                await trio.sleep(0.001)
+            node.store.held = True
+            await trio.sleep(0.1)
             site.store.put_version(2)
+            await trio.sleep(1.0)
+            node.store.release()
+            await trio.sleep(0.05)
+            self.assertGreater(node.revocation.freshness.age_s, 1.0)
+            # A newer version stops keys until its changes can be read.
             await trio.sleep(USABLE_S)
             self.assertFalse(node.allowed)
             node.store.refuses_watches = False
