Offset the watches of the store while freshness is needed

A change ends the watches of all three nodes at once, and they then ended together for ever: the freshness was up to a whole watch old before any node renewed it, and nodes read the store's configuration besides. The first watch after a change now waits one, two or three thirds of the time, by the node's rank, only under strict revocation.

Considered: only later reads; they do not lower the age.

--- a/src/geraniumstair/accounts/_revocation.py
+++ b/src/geraniumstair/accounts/_revocation.py
@@ -27,7 +27,7 @@
 # Nodes in contact with each other share the calls to a store that has failed:
 # each waits for its turn, because the answer to any of them reaches all.
 _SITE_READ_INTERVAL_S = 0.25
-_MAX_SITE_RETRY_S = 10.0
+_MAX_SITE_RETRY_S = 20.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/geraniumstair/gateway/_key_revocation.py
+++ b/src/geraniumstair/gateway/_key_revocation.py
@@ -42,13 +42,13 @@
         clock: Callable[[], float] | None = None,
     ) -> None:
         self.find_table: Callable[[], routing.RouteTable | None] = lambda: None
-        self.freshness = mirror.Freshness(clock or _read_boot_clock_s)
+        self.freshness = mirror.Freshness(
+            clock or _read_boot_clock_s, lambda: self.check.is_strict
+        )
         self.check = accounts.KeyCheck(
             limits, self.freshness, self._has_accounts
         )
-        self.exchange = mirror.FreshnessExchange(
-            self.freshness, lambda: self.check.is_strict
-        )
+        self.exchange = mirror.FreshnessExchange(self.freshness)
         self._reader: _configuration_reader.ConfigurationReader | None = None
 
     def _has_accounts(self) -> bool:
--- a/src/geraniumstair/mirror/_exchange.py
+++ b/src/geraniumstair/mirror/_exchange.py
@@ -1,6 +1,5 @@
 """Exchanges the freshness of mirrors between nodes, in their notices."""
 
-from collections.abc import Callable
 import dataclasses
 import math
 
@@ -32,17 +31,12 @@
     """Reports this node's freshness to peers and takes over theirs.
 
     Args:
-        freshness: Freshness of this node's mirror.
-        is_active: Returns whether notices carry the freshness.
+        freshness: Freshness of this node's mirror. Notices carry it while it
+            is needed.
     """
 
-    def __init__(
-        self,
-        freshness: _freshness.Freshness,
-        is_active: Callable[[], bool],
-    ) -> None:
+    def __init__(self, freshness: _freshness.Freshness) -> None:
         self._freshness = freshness
-        self._is_active = is_active
         self._echoes = _echoes.EchoTracker(freshness.now_s)
         self._counter = 0
         self._claims: list[_Claim] = []
@@ -56,12 +50,12 @@
     def start_round(self, connected: frozenset[str]) -> None:
         """Prepares the notices that are sent to peers now."""
         self._counter = 0
-        if self._is_active():
+        if self._freshness.is_needed:
             self._echoes.forget(connected)
             self._counter = self._echoes.start_round()
 
     def compose(self, receiver: str) -> list[messages.MirrorExchange]:
-        """Returns this node's part of a notice; empty if not active."""
+        """Returns this node's part of a notice; empty if not needed."""
         if not self._counter:
             return []
         echo = self._echoes.echo_for(receiver)
--- a/src/geraniumstair/mirror/_freshness.py
+++ b/src/geraniumstair/mirror/_freshness.py
@@ -30,13 +30,20 @@
     Args:
         clock: Returns a time in s that also counts while the machine is
             suspended.
+        is_needed: Returns whether decisions depend on the freshness now; None
+            if none ever do.
 
     Attributes:
         source: How the latest time was learned.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        is_needed: Callable[[], bool] | None = None,
+    ) -> None:
         self._clock = clock
+        self._is_needed = is_needed
         self._fresh_s = -math.inf
         self.source = FreshnessSource.NONE
 
@@ -44,6 +51,11 @@
         """Returns the time on the clock of the freshness."""
         return self._clock()
 
+    @property
+    def is_needed(self) -> bool:
+        """True if decisions depend on the freshness now."""
+        return self._is_needed is not None and self._is_needed()
+
     @property
     def fresh_s(self) -> float:
         """The latest time; minus infinity if there is none."""
--- a/src/geraniumstair/mirror/_store_watcher.py
+++ b/src/geraniumstair/mirror/_store_watcher.py
@@ -90,6 +90,7 @@
             trio.current_time
         )
         self._retry_s = _RETRY_MIN_S
+        self._restagger = True
         self.answered_s: float | None = None
 
     @property
@@ -156,10 +157,11 @@
         return await self._watch_once()
 
     async def _watch_once(self) -> bool:
+        wait_ms = self._choose_wait_ms()
         sent_s = self._freshness.now_s()
         try:
             changes = await self._source.wait_for_changes(
-                self._mirror.position, WATCH_WAIT_MS
+                self._mirror.position, wait_ms
             )
         except store.WatchCompactedError as compacted:
             _LOG.warning("mirror: %s; reading the whole store again", compacted)
@@ -174,13 +176,23 @@
         self._record_answer()
         advanced = self._mirror.apply(items, position)
         self._completeness.record_complete()
-        self._freshness.record_watch(
-            sent_s, WATCH_WAIT_MS / 1000, empty=not items
-        )
+        self._freshness.record_watch(sent_s, wait_ms / 1000, empty=not items)
+        self._restagger = bool(items)
         if advanced and items:
             await trio.sleep(BATCH_DELAY_S)
         return True
 
+    def _choose_wait_ms(self) -> int:
+        """Returns how long the store should wait for changes.
+
+        A change ends all watches at once. Without an offset the next ones would
+        end together as well, and the freshness of all nodes would be as old as
+        a whole watch before it is renewed.
+        """
+        if not (self._restagger and self._freshness.is_needed):
+            return WATCH_WAIT_MS
+        return round(WATCH_WAIT_MS * self._selection.watch_stagger)
+
     def _record_answer(self) -> None:
         self._retry_s = _RETRY_MIN_S
         self.answered_s = trio.current_time()
--- a/src/geraniumstair/mirror/_watcher_selection.py
+++ b/src/geraniumstair/mirror/_watcher_selection.py
@@ -78,6 +78,15 @@
         """True if another node's watch was answered recently."""
         return self.watch_age_s <= self._takeover_timeout_s
 
+    @property
+    def watch_stagger(self) -> float:
+        """Share of a watch's time by which this node's watches are offset.
+
+        It differs between the nodes that watch, and is more than 0.
+        """
+        rank = rank_nodes(self._members).index(self._node_id)
+        return (rank % WATCHER_COUNT + 1) / WATCHER_COUNT
+
     @property
     def is_watcher(self) -> bool:
         """True if this node has to watch; a takeover lasts `MIN_WATCH_S`."""
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,6 +9,7 @@
 import result
 import yaml
 
+from geraniumstair import accounts
 from geraniumstair import configuration
 from geraniumstair import dispatch  # noqa: F401 - registers its metrics
 from geraniumstair import forward
@@ -145,6 +146,7 @@
         test_node_parts.register_fake_gauges(metrics)
         search.SearchMetrics(metrics)
         forward.ForwardMetrics(metrics)
+        accounts.AccountMetrics(metrics)
         store.EtcdStore(["http://127.0.0.1:1"], registry=metrics)
         names = set()
         for registry in (metrics, observe.process_metrics()):
--- a/tests/test_key_freshness.py
+++ b/tests/test_key_freshness.py
@@ -1,5 +1,6 @@
 """Tests of the bound on the time until a revoked key stops working."""
 
+import math
 import time
 import unittest
 from unittest import mock
@@ -41,6 +42,22 @@
         self.assertEqual(first.prove_sent_s(echo), 1.0)
         self.assertIsNone(second.prove_sent_s(echo))
 
+    def test_a_claim_counts_once_this_mirror_holds_its_changes(self) -> None:
+        sender, receiver = (
+            mirror.FreshnessExchange(mirror.Freshness(clock, lambda: True))
+            for clock in (lambda: 50.0, lambda: 100.0)
+        )
+        sender._freshness.record(mirror.FreshnessSource.WATCH, 48.0)
+        receiver.start_round(frozenset("s"))
+        (request,) = receiver.compose("s")
+        sender.accept("r", 0, request, 0)
+        sender.start_round(frozenset("r"))
+        (notice,) = sender.compose("r")
+        receiver.accept("s", 5, notice, 4)
+        self.assertEqual(receiver._freshness.age_s, math.inf)
+        receiver.settle(5)
+        self.assertEqual(receiver._freshness.age_s, 2.0)
+
     def test_a_suspension_counts(self) -> None:
         with mock.patch.object(time, "clock_gettime", return_value=7.0) as read:
             revocation = _key_revocation.KeyRevocation(
