--- a/src/geraniumstair/forward/_call_queue.py
+++ b/src/geraniumstair/forward/_call_queue.py
@@ -6,7 +6,7 @@
 from geraniumstair.forward import _call
 
 # Priority, number in the order of submission, and the call.
-QueuedCall = tuple[int, int, _call.Call]
+QueuedCall = tuple[float, int, _call.Call]
 
 
 class CallQueue:
