Add the decisions of usage reports

Cause: the platform wants the requests that endpoints began to run for each client account in windows of 5 s, from one holder with fencing tokens (section 2 of docs/work-accounts-and-load.md).

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -885,6 +885,55 @@
     report: LimitReport
 
 
+class SiteTime(Message):
+    """
+    The sender's time of day, for the median that all nodes use.
+    """
+
+    time_ms: Annotated[float, Meta(description="In ms since 1970.")]
+    """
+    In ms since 1970.
+    """
+
+
+class WindowCounts(Message):
+    """
+    A node's cumulative counts of requests in one window.
+    """
+
+    window: int
+    accounts: Annotated[list[str], Meta(description="Client accounts.")]
+    """
+    Client accounts.
+    """
+    counts: Annotated[
+        list[int], Meta(description="Requests of these accounts, in the same order.")
+    ]
+    """
+    Requests of these accounts, in the same order.
+    """
+
+
+class UsageTotals(Message):
+    """
+    A node's counts of recent windows, for the node that reports them and its deputy.
+    """
+
+    process_id: Annotated[
+        int, Meta(description="Distinguishes the processes of the sender.")
+    ]
+    """
+    Distinguishes the processes of the sender.
+    """
+    sequence: Annotated[
+        int, Meta(description="Rises with each message of the process.")
+    ]
+    """
+    Rises with each message of the process.
+    """
+    windows: list[WindowCounts]
+
+
 class SnapshotQuery(Message):
     """
     Asks an owner for the snapshots that its shards can serve.
