Let forward tell which requests endpoints ran

Cause: usage reports count a request once, in the window of the first call that an endpoint accepted, also if its caller left, and after 1 s without an answer. A per-request context records calls and groups of shards, so _search and _single keep their length; Call.observer also sees replies to abandoned calls, which take a request back if they reject it.

Ruled out: counting from the final result alone. It knows neither the calls that were abandoned nor when the accepted one was sent.

--- a/src/geraniumstair/forward/__init__.py
+++ b/src/geraniumstair/forward/__init__.py
@@ -39,6 +39,7 @@
 from geraniumstair.forward._result import SingleResult
 from geraniumstair.forward._suspects import SuspectRequests
 from geraniumstair.forward._timing import Margins
+from geraniumstair.forward._usage import UsageRecorder
 
 __all__ = [
     "RECORD_BYTES",
@@ -72,6 +73,7 @@
     "SuspectRequests",
     "TcpLinkFactory",
     "TokenBucket",
+    "UsageRecorder",
     "merge_greatest_records",
     "select_delegation_nodes",
     "select_delegation_peers",
--- a/src/geraniumstair/forward/_call.py
+++ b/src/geraniumstair/forward/_call.py
@@ -93,6 +93,7 @@
         received_s: Time of receipt, on the monotonic clock.
         remaining_ms: How long the caller will wait after the receipt; None if
             the caller did not state it.
+        account: The client account; empty without one.
     """
 
     request_id: bytes
@@ -105,6 +106,7 @@
     has_body: bool
     received_s: float
     remaining_ms: float | None
+    account: str = ""
 
 
 class PreparedRequest(Protocol):
@@ -140,6 +142,13 @@
         ...
 
 
+class CallObserver(Protocol):
+    """Observes the outcomes of calls."""
+
+    def on_call_ended(self, call: "Call", reply: Reply) -> None:
+        """Called when a call has ended, even if it was abandoned."""
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Call:
     """One request to one endpoint.
@@ -164,6 +173,7 @@
         abandoned_s: When the call was abandoned because nobody waits for it.
         aborted: This node closed the connection to stop the endpoint's work on
             the call.
+        observer: Called with the reply, also if the call was abandoned.
     """
 
     prepared: PreparedRequest
@@ -182,9 +192,12 @@
     done: bool = False
     abandoned_s: float = 0.0
     aborted: bool = False
+    observer: CallObserver | None = None
 
     def finish(self, reply: Reply) -> None:
         """Delivers the reply, unless the call is done."""
+        if self.observer is not None:
+            self.observer.on_call_ended(self, reply)
         if not self.done:
             self.done = True
             self.on_finished(self, reply)
--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 from typing import Any
 
 import trio
@@ -22,6 +23,7 @@
 from geraniumstair.forward import _single
 from geraniumstair.forward import _suspects
 from geraniumstair.forward import _timing
+from geraniumstair.forward import _usage
 
 SWEEP_INTERVAL_S = 0.05
 # The cache of weighted splits also holds those of earlier route versions; it is
@@ -45,6 +47,7 @@
             uses this node's parts only.
         suspects: Requests under which endpoints ended; None remembers those of
             this node only.
+        usage: Counts requests that endpoints ran; None counts none.
     """
 
     def __init__(
@@ -57,7 +60,9 @@
         margins: _timing.Margins | None = None,
         grants: _grants.LimitGrants | None = None,
         suspects: _suspects.SuspectRequests | None = None,
+        usage: _usage.UsageRecorder | None = None,
     ) -> None:
+        self._open_requests = _usage.OpenRequests(usage)
         self._delegation = delegation
         self._context = _context.Context(
             pool,
@@ -82,6 +87,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._sweep_loop)
             nursery.start_soon(self._report_loop)
+            nursery.start_soon(self._open_requests.run)
 
     async def _report_loop(self) -> None:
         budget = self._context.budget
@@ -104,15 +110,30 @@
         If the task is cancelled because the caller disconnected, its calls are
         abandoned.
         """
-        if self._context.suspects.is_blocked(request):
+        runs = self._open_requests.begin(request)
+        if runs is None:
+            return await self._forward(self._context, request, route)
+        context = dataclasses.replace(self._context, runs=runs)
+        try:
+            return await self._forward(context, request, route)
+        finally:
+            self._open_requests.end(runs)
+
+    async def _forward(
+        self,
+        context: _context.Context,
+        request: _call.CallerRequest,
+        route: routing.Route,
+    ) -> _result.ForwardResult:
+        if context.suspects.is_blocked(request):
             return self._report(
                 request, route, _build_suspect_refusal(), _NO_HANDLER
             )
         if not route.is_search:
             service = self._get_split(route).next_service()
-            single = _single.Single(self._context, request, route, service)
+            single = _single.Single(context, request, route, service)
             return self._report(request, route, await single.run(), single)
-        search = self._create_search(request, route)
+        search = self._create_search(context, request, route)
         permit = self._admission.admit(
             route.shards,
             preferred=self._is_most_urgent(route) or search.waited_ms > 0,
@@ -152,10 +173,13 @@
         return route.priority <= urgent
 
     def _create_search(
-        self, request: _call.CallerRequest, route: routing.Route
+        self,
+        context: _context.Context,
+        request: _call.CallerRequest,
+        route: routing.Route,
     ) -> _search.Search:
         return _search.Search(
-            self._context,
+            context,
             request,
             route,
             route.shards,
--- a/src/geraniumstair/forward/_search.py
+++ b/src/geraniumstair/forward/_search.py
@@ -248,10 +248,10 @@
             group = dataclasses.replace(planned, shards=tuple(names))
             for name in group.shards:
                 self._shards[name].delegated = True
-            pending = delegation.start(
+            pending = self._context.start_group(
+                delegation,
                 group,
                 self._request,
-                self._context.margins.hop_ms,
                 functools.partial(self._on_group_reply, group),
             )
             if pending is None:
@@ -403,7 +403,7 @@
         shard.ran_on.add(replica.entry.endpoint_id)
         shard.runs += 1
         shard.open_calls[call] = replica
-        self._context.budget.record_call(shard.service)
+        self._context.record_call(call)
         replica.submit(call)
 
     def _on_finished(self, call: _call.Call, reply: _call.Reply) -> None:
--- a/src/geraniumstair/forward/_single.py
+++ b/src/geraniumstair/forward/_single.py
@@ -138,7 +138,7 @@
         self._tried.add(replica.entry.endpoint_id)
         self._runs += 1
         self._open_calls[call] = replica
-        self._context.budget.record_call(self._service)
+        self._context.record_call(call)
         replica.submit(call)
 
     def _on_finished(self, call: _call.Call, reply: _call.Reply) -> None:
