Send usage reports from the node on the users' platform

gateway/_usage assembles the parts; platform/ holds the settings and the client of the API. The feature is off unless the settings name the duty; it waits for _has_accounts in gateway/_node, which is False until the route table holds accounts.

--- a/src/geraniumstair/gateway/__init__.py
+++ b/src/geraniumstair/gateway/__init__.py
@@ -29,6 +29,9 @@
 from geraniumstair.gateway._state import StateChange
 from geraniumstair.gateway._state import StateDecoder
 from geraniumstair.gateway._state import ZoneChanged
+from geraniumstair.gateway._usage import UsageClocks
+from geraniumstair.gateway._usage import UsageReports
+from geraniumstair.gateway._usage import UsageSettings
 
 __all__ = [
     "CallerApplication",
@@ -54,6 +57,9 @@
     "RoutesChanged",
     "StateChange",
     "StateDecoder",
+    "UsageClocks",
+    "UsageReports",
+    "UsageSettings",
     "ZoneChanged",
     "select_neighbours",
 ]
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -20,12 +20,14 @@
 from geraniumstair import mirror
 from geraniumstair import observe
 from geraniumstair import peers
+from geraniumstair import usage
 from geraniumstair import wire
 from geraniumstair.gateway import _application
 from geraniumstair.gateway import _lifecycle
 from geraniumstair.gateway import _presence
 from geraniumstair.gateway import _rollouts
 from geraniumstair.gateway import _state
+from geraniumstair.gateway import _usage
 
 _LOG = logging.getLogger(__name__)
 MAX_BODY_BYTES = 1024 * 1024
@@ -59,6 +61,7 @@
         processor_cores: CPU time that the node may use, in cores.
         exposure_share: Greatest share of a service's requests that a possibly
             bad version may receive, 0 to 1.
+        usage: Settings of the usage reports; None without them.
     """
 
     node_id: str
@@ -76,9 +79,12 @@
     remote_cost_ms: float
     processor_cores: float
     exposure_share: float
+    usage: _usage.UsageSettings | None = None
 
 
-class Store(mirror.StoreReader, _presence.LeaseStore, Protocol):
+class Store(
+    mirror.StoreReader, _presence.LeaseStore, usage.DutyStore, Protocol
+):
     """The operations of the platform's store that a node uses."""
 
 
@@ -92,6 +98,7 @@
         encoder: Encodes the rollout status that operators read in the store.
         dialect: Converts requests and responses of endpoints.
         codec: Converts requests and responses of callers.
+        usage_api: API for usage reports; None without them.
     """
 
     store: Store
@@ -99,6 +106,7 @@
     encoder: _rollouts.RecordEncoder
     dialect: forward.Dialect
     codec: _application.CallerCodec
+    usage_api: usage.ReportApi | None = None
 
 
 class GatewayNode:
@@ -198,6 +206,16 @@
             random.Random(),
         )
         self._pool = pool
+        self._usage = _usage.build_usage_reports(
+            settings.node_id,
+            settings.usage,
+            self._network,
+            self._adapters.store,
+            self._adapters.usage_api,
+            _has_accounts,
+            lambda: self._lifecycle.stopping,
+        )
+        self._usage.follow_mirror(self._mirror)
         self._budget.set_share_finder(pool.repeat_share)
         state = _state.DesiredState(
             self._adapters.decoder,
@@ -225,6 +243,7 @@
                 settings.node_id, pool, self._network, random.Random()
             ),
             forward.SuspectRequests(trio.current_time, self._network),
+            self._usage.recorder,
         )
         forward.PartsServer(self._network, state, forwarder, self._lifecycle)
         self._mirror.subscribe(state.apply)
@@ -246,6 +265,7 @@
         self._state_dump.register("endpoints", pool.dump)
         self._state_dump.register("mirror", self._dump_mirror)
         self._state_dump.register("rollouts", self._rollouts.dump)
+        self._state_dump.register("usage", self._usage.dump)
         application = _application.CallerApplication(
             state, forwarder, self._adapters.codec, self._lifecycle
         )
@@ -256,6 +276,7 @@
             forwarder.run,
             state.run_expiry_loop,
             self._rollouts.run,
+            self._usage.run,
             self._run_network,
             self._reload_loop,
             application.answer_rest_at_shutdown,
@@ -373,9 +394,9 @@
             ]
         )
         zones = {n: info.availability_zone for n, info in nodes.items()}
-        self._gossip.set_neighbours(
-            _presence.select_neighbours(self._settings.node_id, zones)
-        )
+        neighbours = _presence.select_neighbours(self._settings.node_id, zones)
+        self._gossip.set_neighbours(neighbours)
+        self._usage.set_nodes(nodes, neighbours)
         self._watcher_selection.set_members(members)
         self._pool.set_members(nodes)
 
@@ -384,12 +405,19 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._deregister)
             await self._callers_closed.wait()
+        await self._usage.flush()
 
     async def _deregister(self) -> None:
         with trio.move_on_after(1.0):
             await self._presence.deregister()
 
 
+def _has_accounts() -> bool:
+    """Returns whether the configuration in force holds client accounts."""
+    # The route table does not hold accounts yet.
+    return False
+
+
 async def _ignore_signals(signals: object) -> None:
     async for signal_number in signals:  # type: ignore[attr-defined]
         _LOG.info("gateway: ignored signal %d during shutdown", signal_number)
--- a/src/geraniumstair/platform/_process.py
+++ b/src/geraniumstair/platform/_process.py
@@ -15,6 +15,7 @@
 from geraniumstair.platform import _http
 from geraniumstair.platform import _settings
 from geraniumstair.platform import _store
+from geraniumstair.platform import _usage_api
 
 _LOG = logging.getLogger("geraniumstair.platform")
 # Environment variable with the path of the settings file.
@@ -35,6 +36,7 @@
         encoder=_decoder.PlatformEncoder(),
         dialect=_http.PlatformDialect(),
         codec=_http.PlatformCodec(),
+        usage_api=_build_usage_api(settings),
     )
 
     def load_gateway_settings() -> gateway.GatewaySettings:
@@ -45,6 +47,15 @@
     ).run()
 
 
+def _build_usage_api(
+    settings: _settings.PlatformSettings,
+) -> _usage_api.UsageApi | None:
+    address = settings.usage_api_address
+    if address is None:
+        return None
+    return _usage_api.UsageApi(address, settings.node_id)
+
+
 def run() -> int:
     """Runs a node; returns the exit status."""
     handler = observe.NonBlockingHandler(sys.stdout.fileno())
--- a/src/geraniumstair/platform/_settings.py
+++ b/src/geraniumstair/platform/_settings.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import ipaddress
+import math
 import pathlib
 from typing import Annotated
 
@@ -16,10 +17,12 @@
 # Traffic between availability zones is charged for, so a node prefers endpoints
 # in its own zone while these are not much busier.
 REMOTE_COST_MS = 60.0
+_USAGE_DUTY = "usage_report"
 
 # msgspec is used in place of pydantic, whose import alone delays the start of
 # a node by a tenth of a second.
 _Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
 _Ports = Annotated[list[int], msgspec.Meta(min_length=2)]
 
 
@@ -39,6 +42,11 @@
     budget_window_s: float = msgspec.field(name="BudgetWindowS", default=10.0)
     budget_slack: float = msgspec.field(name="BudgetSlack", default=20.0)
     exposure_share: float = msgspec.field(name="ExposureShare", default=0.1)
+    lease_ms: _Positive = msgspec.field(name="LeaseMs", default=3000.0)
+    report_window_s: _Positive = msgspec.field(
+        name="ReportWindowS", default=5.0
+    )
+    usage_delay_s: _Positive = msgspec.field(name="UsageDelayS", default=10.0)
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -49,6 +57,12 @@
 
 class _StoreAddress(msgspec.Struct, frozen=True):
     address: str = msgspec.field(name="Address")
+    min_ttl_ms: float = msgspec.field(name="MinTtlMs", default=0.0)
+
+
+class _DutyApi(msgspec.Struct, frozen=True):
+    address: str = msgspec.field(name="Address")
+    duties: list[str] = msgspec.field(name="Duties", default_factory=list)
 
 
 class PlatformSettings(msgspec.Struct, frozen=True):
@@ -62,6 +76,15 @@
     store: _StoreAddress = msgspec.field(name="platform")
     limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
     seeds: list[str] = msgspec.field(name="Seeds", default_factory=list)
+    duty_api: _DutyApi | None = msgspec.field(name="CloudApi", default=None)
+
+    @property
+    def usage_api_address(self) -> str | None:
+        """Address of the API for usage reports; None if none are wanted."""
+        api = self.duty_api
+        if api is None or _USAGE_DUTY not in api.duties:
+            return None
+        return api.address
 
 
 def load_settings(path: str) -> PlatformSettings:
@@ -132,11 +155,29 @@
             remote_cost_ms=REMOTE_COST_MS,
             processor_cores=settings.limits.core_share * settings.limits.cores,
             exposure_share=bounds.exposure_share,
+            usage=_build_usage_settings(settings),
         )
     except ValueError as error:
         raise errors.SettingsError(str(error)) from error
 
 
+def _build_usage_settings(
+    settings: PlatformSettings,
+) -> gateway.UsageSettings | None:
+    if settings.usage_api_address is None:
+        return None
+    parse_address(settings.usage_api_address)
+    bounds = settings.bounds
+    # The store takes whole seconds; a longer lease is safe.
+    ttl_ms = max(bounds.lease_ms, settings.store.min_ttl_ms)
+    return gateway.UsageSettings(
+        window_s=bounds.report_window_s,
+        delay_s=bounds.usage_delay_s,
+        quiet_s=bounds.lease_ms / 1000,
+        ttl_s=math.ceil(ttl_ms / 1000),
+    )
+
+
 def _derive_cluster_key(settings: PlatformSettings) -> str:
     """Derives the key that all nodes of a site share.
 
--- /dev/null
+++ b/tests/test_usage_site.py
@@ -0,0 +1,503 @@
+"""Tests of the usage reports of several nodes, on a virtual clock.
+
+Each test injects one failure and checks what the platform's API received.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import json
+import unittest
+
+import trio
+
+from geraniumstair import store
+from geraniumstair import usage
+from tests import builders_gateway
+from tests import builders_usage as builders
+
+_FIRST_WINDOW = round(builders.START_S / builders.WINDOW_S)
+_FAILED = usage.ApiOutcome.FAILED
+_THROTTLED = usage.ApiOutcome.THROTTLED
+_Test = Callable[[builders.UsageSite], Awaitable[None]]
+
+
+def _run(
+    test: _Test, clock_errors_s: tuple[float, ...] = (0.0, 0.0, 0.0)
+) -> builders.UsageSite:
+    """Runs a test on a site; returns the site."""
+    sites = []
+
+    async def run(nursery: trio.Nursery) -> None:
+        sites.append(builders.UsageSite(nursery, clock_errors_s))
+        await test(sites[0])
+
+    builders_gateway.run_on_virtual_clock(run)
+    return sites[0]
+
+
+async def _wait_for(condition: Callable[[], object]) -> None:
+    """Waits until a condition holds, for at most 60 s of virtual time."""
+    with trio.fail_after(60):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+class UsageSiteTest(unittest.TestCase):
+    """Guards against reports that are wrong, late, doubled or out of order."""
+
+    def _check_promises(self, site: builders.UsageSite) -> None:
+        self.assertEqual(builders.find_violations(site.api.calls), [])
+
+    def _check_counts(
+        self, site: builders.UsageSite, first: int, last: int
+    ) -> None:
+        """Checks windows that no failure may change, numbered from 0."""
+        reported = site.api.reported()
+        for number in range(first, last + 1):
+            window = _FIRST_WINDOW + number
+            self.assertIn(window, reported, f"window {number}")
+            truth = site.truth(window)
+            self.assertEqual(reported[window].keys(), truth.keys())
+            for account, count in truth.items():
+                self.assertAlmostEqual(
+                    reported[window][account], count, delta=0.05 * count
+                )
+
+    def _check_due(self, site: builders.UsageSite, first: int) -> None:
+        """Checks that windows were reported within the delay."""
+        for call in site.api.calls:
+            if call.window >= _FIRST_WINDOW + first:
+                end_s = builders.windows().end_s(call.window)
+                late_s = builders.START_S + call.time_s - end_s
+                self.assertLess(late_s, builders.DELAY_S)
+
+    def test_each_window_is_reported_once_by_one_holder(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            await site.run_load(40)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 5)
+        self._check_due(site, 0)
+        calls = site.api.calls
+        self.assertEqual(len({call.window for call in calls}), len(calls))
+        self.assertEqual(len({call.token for call in calls}), 1)
+
+    def test_without_accounts_nothing_is_sent(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            site.has_accounts = False
+            await trio.sleep(30)
+
+        site = _run(test)
+        self.assertEqual(site.api.calls, [])
+        self.assertEqual(site.messages, {})
+        self.assertEqual(site.store.calls, 0)
+
+    def test_few_messages_and_store_calls_on_a_large_site(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            await trio.sleep(10)
+            site.messages.clear()
+            site.store.calls = 0
+            for number in range(25 * 20):
+                node_id = f"n{number * 7 % 80}"
+                site.count(node_id, f"t{number % 82}")
+                await trio.sleep(0.04)
+
+        site = _run(test, (0.0,) * 80)
+        # 25 requests a second to two receivers; each node repeats a window
+        # once.
+        self.assertLess(site.messages["UsageTotals"] / 20, 85)
+        # Three renewals in 3 s, and a record for each window.
+        self.assertLess(site.store.calls / 20, 1.5)
+
+    # ---- failures of the holder ----
+
+    def test_a_holder_killed_before_the_record_loses_no_window(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 50)
+            await _wait_for(lambda: len(site.api.calls) == 3)
+            site.idle_nodes.add(site.find_holder().node_id)
+            await trio.sleep(builders.WINDOW_S - 0.3)
+            site.kill(site.find_holder().node_id)
+            await trio.sleep(40)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 6)
+        self._check_due(site, 0)
+        self.assertEqual(len({call.node_id for call in site.api.calls}), 2)
+
+    def test_a_holder_killed_before_the_call_is_repeated_unchanged(
+        self,
+    ) -> None:
+        recorded = []
+
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 50)
+            await _wait_for(lambda: len(site.api.calls) == 2)
+            known = site.store.find_record()
+            await _wait_for(lambda: site.store.find_record() != known)
+            recorded.append(site.store.find_record())
+            site.kill(site.find_holder().node_id)
+            self.assertEqual(len(site.api.calls), 2)
+            await trio.sleep(25)
+
+        site = _run(test)
+        self._check_promises(site)
+        self.assertEqual(
+            site.api.reported()[recorded[0]["window"]], recorded[0]["counts"]
+        )
+        self._check_counts(site, 0, 4)
+
+    def test_a_holder_killed_after_the_call_is_repeated_exactly(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 40)
+            await _wait_for(lambda: len(site.api.calls) == 2)
+            site.kill(site.find_holder().node_id)
+            await trio.sleep(25)
+
+        site = _run(test)
+        self._check_promises(site)
+        self.assertEqual(site.api.calls[1].window, site.api.calls[2].window)
+        self._check_counts(site, 0, 4)
+
+    def test_a_restarted_holder_waits_as_others_do(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            await _wait_for(lambda: site.api.calls)
+            node_id = site.find_holder().node_id
+            site.kill(node_id)
+            await trio.sleep(0.3)
+            site.start(node_id)
+            await trio.sleep(30)
+
+        site = _run(test)
+        self._check_promises(site)
+        self.assertGreater(len(site.api.calls), 4)
+
+    def test_holders_that_stop_one_after_the_other_keep_the_order(self) -> None:
+        # A, B and A again in a rolling restart of two nodes.
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 80)
+            for _ in range(6):
+                await trio.sleep(7)
+                node = site.find_holder()
+                node.stopping = True
+                await trio.sleep(3)
+                site.kill(node.node_id)
+                await trio.sleep(1)
+                site.start(node.node_id)
+            await trio.sleep(20)
+
+        site = _run(test, (0.0, 0.0))
+        self._check_promises(site)
+        self.assertGreater(len({call.token for call in site.api.calls}), 5)
+        self._check_due(site, 0)
+
+    def test_a_frozen_holder_does_not_act_after_its_lease(self) -> None:
+        frozen = []
+
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 45)
+            await _wait_for(lambda: len(site.api.calls) == 2)
+            known = site.store.find_record()
+            await _wait_for(lambda: site.store.find_record() != known)
+            # The call is on its way and leaves the node only after the thaw.
+            holder = site.find_holder()
+            holder.freeze()
+            site.store.unfollow(holder)
+            frozen.append(holder.node_id)
+            await trio.sleep(20)
+            holder.thaw()
+            await trio.sleep(0.2)
+            site.store.follow(holder)
+            await trio.sleep(20)
+
+        site = _run(test)
+        self._check_promises(site)
+        after = site.api.calls[2:]
+        self.assertTrue(after)
+        self.assertNotIn(frozen[0], [call.node_id for call in after])
+
+    # ---- failures of links and the store ----
+
+    def test_a_holder_cut_off_from_the_store_stops_by_its_own_clock(
+        self,
+    ) -> None:
+        cut = []
+
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 40)
+            await _wait_for(lambda: len(site.api.calls) == 2)
+            holder = site.find_holder()
+            holder.access.cut = True
+            site.store.unfollow(holder)
+            cut.append((holder.node_id, trio.current_time()))
+            await trio.sleep(30)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 5)
+        node_id, at_s = cut[0]
+        late = [c for c in site.api.calls if c.time_s > at_s + builders.LEASE_S]
+        self.assertTrue(late)
+        self.assertNotIn(node_id, [call.node_id for call in late])
+
+    def test_without_the_store_nothing_is_sent_and_gaps_are_logged(
+        self,
+    ) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 60)
+            await _wait_for(lambda: len(site.api.calls) == 2)
+            site.store.down = True
+            await trio.sleep(1)
+            sent = len(site.api.calls)
+            calls = site.store.calls
+            await trio.sleep(25)
+            self.assertEqual(len(site.api.calls), sent)
+            self.assertLess(site.store.calls - calls, 200)
+            site.store.down = False
+            await trio.sleep(20)
+
+        with self.assertLogs("geraniumstair.usage") as logs:
+            site = _run(test)
+        self._check_promises(site)
+        self.assertIn("no confirmed report", "\n".join(logs.output))
+        # The last windows are reported again.
+        self.assertGreater(len(site.api.calls), 4)
+
+    def test_a_record_with_unknown_result_is_repeated_unchanged(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 40)
+            await _wait_for(lambda: len(site.api.calls) == 2)
+            access = site.find_holder().access
+            lost = iter(["lost"])
+            access.commit_fault = lambda transaction: next(lost, "")
+            await trio.sleep(20)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 4)
+        self.assertEqual(len({call.token for call in site.api.calls}), 1)
+
+    def test_a_record_that_is_written_late_changes_no_report(self) -> None:
+        # The store executes the transaction 4 s after the call timed out.
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 50)
+            await _wait_for(lambda: len(site.api.calls) == 2)
+            access = site.find_holder().access
+            late = iter([4.0])
+            access.commit_fault = lambda transaction: next(late, "")
+            await trio.sleep(30)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 6)
+
+    def test_a_late_record_of_a_killed_holder_has_no_effect(self) -> None:
+        # Its condition, the creation of the holder's key, fails by then.
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 50)
+            await _wait_for(lambda: len(site.api.calls) == 2)
+            holder = site.find_holder()
+            sent: list[store.Transaction] = []
+
+            def delay(transaction: store.Transaction) -> float:
+                sent.append(transaction)
+                return 9.0
+
+            holder.access.commit_fault = delay
+            await _wait_for(lambda: sent)
+            site.kill(holder.node_id)
+            await trio.sleep(30)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 6)
+
+    def test_a_key_whose_creation_has_an_unknown_result(self) -> None:
+        # The node must find out that it holds the duty; no other would act.
+        async def test(site: builders.UsageSite) -> None:
+            lost = iter(["lost"])
+            for node in site.nodes.values():
+                node.access.commit_fault = lambda transaction: next(lost, "")
+            await site.run_load(20)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 1)
+
+    def test_a_key_that_is_created_late_has_no_holder(self) -> None:
+        # The lease was ended, so the late creation fails.
+        async def test(site: builders.UsageSite) -> None:
+            late = iter([2.0])
+            for node in site.nodes.values():
+                node.access.commit_fault = lambda transaction: next(late, "")
+            await site.run_load(25)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 1, 2)
+
+    def test_a_restored_store_without_the_last_records(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 70)
+            await _wait_for(lambda: len(site.api.calls) == 2)
+            copy = site.store.copy()
+            await _wait_for(lambda: len(site.api.calls) == 4)
+            site.store.restore(copy)
+            await trio.sleep(40)
+            # The newest record is in the store again.
+            record = site.store.find_record()
+            self.assertEqual(record["window"], site.api.calls[-1].window)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 9)
+        self.assertGreater(len(site.api.calls), 8)
+
+    def test_a_restored_store_without_any_key(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            copy = site.store.copy()
+            site.nursery.start_soon(site.run_load, 70)
+            await _wait_for(lambda: len(site.api.calls) == 3)
+            site.store.restore(copy)
+            await trio.sleep(40)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 8)
+
+    # ---- failures of the API ----
+
+    def test_an_api_that_fails_gets_the_same_report_again(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            site.api.outcomes = [_FAILED, _FAILED, _FAILED]
+            await site.run_load(25)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 2)
+        self.assertEqual([c.window for c in site.api.calls[:4]].count(
+            site.api.calls[0].window), 4)  # fmt: skip
+
+    def test_an_api_that_takes_no_more_calls_is_asked_later(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            site.api.outcomes = [_THROTTLED] * 3
+            await site.run_load(25)
+            self.assertEqual(site.api.outcomes, [])
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 2)
+        # The first window is due at 8 s; three refusals take 3 s.
+        self.assertGreaterEqual(site.api.calls[0].time_s, 11)
+
+    def test_an_api_that_is_down_loses_windows_with_a_log_line(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 70)
+            await _wait_for(lambda: len(site.api.calls) == 2)
+            holder = site.find_holder()
+            site.api.down = True
+            await trio.sleep(25)
+            site.api.down = False
+            await trio.sleep(20)
+            # Nothing else depends on the API.
+            self.assertIs(site.find_holder(), holder)
+            missed = holder.reports.dump()["reports"]["missed"]
+            self.assertEqual({m["reason"] for m in missed}, {"not_confirmed"})
+            self.assertGreater(missed[0]["requests"], 0)
+
+        with self.assertLogs("geraniumstair.usage") as logs:
+            site = _run(test)
+        self._check_promises(site)
+        self.assertIn("no confirmed report", "\n".join(logs.output))
+        self._check_due(site, 0)
+
+    def test_a_slow_api_holds_up_neither_lease_nor_counts(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            site.api.delay_s = 2.4
+            await site.run_load(40)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 5)
+        self.assertEqual(len({call.token for call in site.api.calls}), 1)
+
+    # ---- messages ----
+
+    def test_lost_totals_are_sent_again(self) -> None:
+        # The last messages of each window are lost, so it needs the repeat.
+        async def test(site: builders.UsageSite) -> None:
+            def is_lost(message: object) -> bool:
+                since_end_s = (trio.current_time() + 0.6) % builders.WINDOW_S
+                return since_end_s < 1.2
+
+            site.is_lost = is_lost
+            await site.run_load(40)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 5)
+
+    def test_repeated_totals_count_once(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            site.copies = 3
+            await site.run_load(30)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 3)
+
+    def test_what_a_killed_node_has_sent_is_counted(self) -> None:
+        # Its restarted process begins with zero, which replaces nothing.
+        async def test(site: builders.UsageSite) -> None:
+            await trio.sleep(6)
+            holder = site.find_holder().node_id
+            node_id = next(n for n in site.nodes if n != holder)
+            site.count(node_id, "a", 7)
+            await trio.sleep(1)
+            site.kill(node_id)
+            site.start(node_id)
+            site.count(node_id, "a", 4)
+            await trio.sleep(14)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 1, 1)
+
+    # ---- clocks ----
+
+    def test_wrong_and_jumping_clocks_do_not_move_the_windows(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 42)
+            await trio.sleep(12)
+            for error_s in (-4.0, 3.0, 0.0):
+                site.nodes["n2"].clock_error_s = error_s
+                await trio.sleep(10)
+
+        site = _run(test, (2.0, 0.0, 0.0, -3.0, 0.1))
+        self._check_promises(site)
+        # Before the first messages, a node has its own clock only.
+        self._check_counts(site, 1, 5)
+
+    # ---- what operators see ----
+
+    def test_the_dump_names_the_holder_and_the_newest_window(self) -> None:
+        async def test(site: builders.UsageSite) -> None:
+            await site.run_load(20)
+            holder = site.find_holder()
+            for node in site.nodes.values():
+                dump = node.reports.dump()
+                json.dumps(dump)
+                self.assertEqual(dump["duty"]["holder"], holder.node_id)
+                self.assertGreater(dump["duty"]["since_s"], 10)
+                self.assertEqual(
+                    dump["reports"]["recorded_window"],
+                    site.api.calls[-1].window,
+                )
+
+        _run(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
