--- a/src/geraniumstair/forward/_call.py
+++ b/src/geraniumstair/forward/_call.py
@@ -144,6 +144,13 @@
         ...
 
 
+class CallObserver(Protocol):
+    """Observes the outcomes of calls."""
+
+    def on_call_ended(self, call: "Call", reply: Reply) -> None:
+        """Called when a call has ended, even if it was abandoned."""
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Call:
     """One request to one endpoint.
@@ -168,6 +175,7 @@
         abandoned_s: When the call was abandoned because nobody waits for it.
         aborted: This node closed the connection to stop the endpoint's work on
             the call.
+        observer: Called with the reply, also if the call was abandoned.
     """
 
     prepared: PreparedRequest
@@ -186,9 +194,12 @@
     done: bool = False
     abandoned_s: float = 0.0
     aborted: bool = False
+    observer: CallObserver | None = None
 
     def finish(self, reply: Reply) -> None:
         """Delivers the reply, unless the call is done."""
+        if self.observer is not None:
+            self.observer.on_call_ended(self, reply)
         if not self.done:
             self.done = True
             self.on_finished(self, reply)
--- a/src/geraniumstair/forward/_search_calls.py
+++ b/src/geraniumstair/forward/_search_calls.py
@@ -81,7 +81,7 @@
         shard.ran_on.add(replica.entry.endpoint_id)
         shard.runs += 1
         shard.open_calls[call] = replica
-        self._context.budget.record_call(shard.service)
+        self._context.record_call(call)
         replica.submit(call)
 
     def repeat_failed(
--- a/src/geraniumstair/forward/_search_groups.py
+++ b/src/geraniumstair/forward/_search_groups.py
@@ -87,10 +87,10 @@
         state = self._state
         for name in group.shards:
             state.shards[name].delegated = True
-        pending = delegation.start(
+        pending = state.context.start_group(
+            delegation,
             group,
             state.request,
-            state.context.margins.hop_ms,
             functools.partial(self._on_reply, group),
         )
         if pending is None:
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -21,6 +21,8 @@
 from geraniumstair import mirror
 from geraniumstair import observe
 from geraniumstair import peers
+from geraniumstair import routing
+from geraniumstair import usage
 from geraniumstair import wire
 from geraniumstair.gateway import _application
 from geraniumstair.gateway import _configuration_reader
@@ -29,6 +31,7 @@
 from geraniumstair.gateway import _presence
 from geraniumstair.gateway import _rollouts
 from geraniumstair.gateway import _state
+from geraniumstair.gateway import _usage
 
 _LOG = logging.getLogger(__name__)
 MAX_BODY_BYTES = 1024 * 1024
@@ -63,6 +66,7 @@
         exposure_share: Greatest share of a service's requests that a possibly
             bad version may receive, 0 to 1.
         revocation: How soon a revoked key stops working.
+        usage: Settings of the usage reports; None without them.
     """
 
     node_id: str
@@ -81,12 +85,14 @@
     processor_cores: float
     exposure_share: float
     revocation: accounts.RevocationLimits = accounts.RevocationLimits()
+    usage: _usage.UsageSettings | None = None
 
 
 class Store(
     mirror.StoreReader,
     _presence.LeaseStore,
     _configuration_reader.StoreKeyReader,
+    usage.DutyStore,
     Protocol,
 ):
     """The operations of the platform's store that a node uses."""
@@ -103,6 +109,7 @@
         dialect: Converts requests and responses of endpoints.
         codec: Converts requests and responses of callers.
         configuration_key: Key of the operator's configuration in the store.
+        usage_api: API for usage reports; None without them.
     """
 
     store: Store
@@ -111,6 +118,7 @@
     dialect: forward.Dialect
     codec: _application.CallerCodec
     configuration_key: str
+    usage_api: usage.ReportApi | None = None
 
 
 class GatewayNode:
@@ -230,6 +238,16 @@
             lambda: self._completeness.changes_since_s,
         )
         self._key_revocation.find_table = lambda: state.table
+        self._usage = _usage.build_usage_reports(
+            settings.node_id,
+            settings.usage,
+            self._network,
+            self._adapters.store,
+            self._adapters.usage_api,
+            lambda: _has_accounts(state.table),
+            lambda: self._lifecycle.stopping,
+        )
+        self._usage.follow_mirror(self._mirror)
         self._delegation = forward.Delegation(
             settings.node_id,
             settings.availability_zone,
@@ -249,6 +267,7 @@
                 settings.node_id, pool, self._network, random.Random()
             ),
             forward.SuspectRequests(trio.current_time, self._network),
+            self._usage.recorder,
         )
         forward.PartsServer(self._network, state, forwarder, self._lifecycle)
         self._mirror.subscribe(state.apply)
@@ -271,6 +290,7 @@
         self._state_dump.register("mirror", self._dump_mirror)
         self._state_dump.register("rollouts", self._rollouts.dump)
         self._state_dump.register("accounts", self._key_revocation.dump)
+        self._state_dump.register("usage", self._usage.dump)
         application = _application.CallerApplication(
             state,
             forwarder,
@@ -288,6 +308,7 @@
             forwarder.run,
             state.run_expiry_loop,
             self._rollouts.run,
+            self._usage.run,
             self._run_network,
             self._reload_loop,
             application.answer_rest_at_shutdown,
@@ -406,9 +427,9 @@
             ]
         )
         zones = {n: info.availability_zone for n, info in nodes.items()}
-        self._gossip.set_neighbours(
-            _presence.select_neighbours(self._settings.node_id, zones)
-        )
+        neighbours = _presence.select_neighbours(self._settings.node_id, zones)
+        self._gossip.set_neighbours(neighbours)
+        self._usage.set_nodes(nodes, neighbours)
         self._watcher_selection.set_members(members)
         self._key_revocation.set_members(members)
         self._pool.set_members(nodes)
@@ -418,12 +439,19 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._deregister)
             await self._callers_closed.wait()
+        await self._usage.flush()
 
     async def _deregister(self) -> None:
         with trio.move_on_after(1.0):
             await self._presence.deregister()
 
 
+def _has_accounts(table: routing.RouteTable | None) -> bool:
+    """Returns whether the configuration in force holds client accounts."""
+    # The route table does not hold accounts yet.
+    return False
+
+
 async def _ignore_signals(signals: object) -> None:
     async for signal_number in signals:  # type: ignore[attr-defined]
         _LOG.info("gateway: ignored signal %d during shutdown", signal_number)
--- a/src/geraniumstair/platform/_process.py
+++ b/src/geraniumstair/platform/_process.py
@@ -15,6 +15,7 @@
 from geraniumstair.platform import _http
 from geraniumstair.platform import _settings
 from geraniumstair.platform import _store
+from geraniumstair.platform import _usage_api
 
 _LOG = logging.getLogger("geraniumstair.platform")
 # Environment variable with the path of the settings file.
@@ -36,6 +37,7 @@
         dialect=_http.PlatformDialect(),
         codec=_http.PlatformCodec(),
         configuration_key=_decoder.CONFIG_KEY,
+        usage_api=_build_usage_api(settings),
     )
 
     def load_gateway_settings() -> gateway.GatewaySettings:
@@ -46,6 +48,15 @@
     ).run()
 
 
+def _build_usage_api(
+    settings: _settings.PlatformSettings,
+) -> _usage_api.UsageApi | None:
+    address = settings.usage_api_address
+    if address is None:
+        return None
+    return _usage_api.UsageApi(address, settings.node_id)
+
+
 def run() -> int:
     """Runs a node; returns the exit status."""
     handler = observe.NonBlockingHandler(sys.stdout.fileno())
