Serve callers with a listener that bounds their memory

Cause: hypercorn keeps every byte that clients have sent, and every response that they have not read, without a bound over all connections, and it closes no connection that stops short.

geraniumstair.platform now serves callers and readiness with HttpServer, on trio and httptools. MaxHeaderBytes, MaxBodyBytes, HeaderTimeoutMs and IdleTimeoutMs of the configuration are in force. The other programs serve with listeners.asgi, which the platform does not import.

--- a/src/geraniumstair/gateway/_application.py
+++ b/src/geraniumstair/gateway/_application.py
@@ -109,6 +109,11 @@
         self._lifecycle = lifecycle
         self._running: set[trio.CancelScope] = set()
 
+    def limits(self) -> routing.CallerLimits:
+        """Returns the limits in force; the defaults before any are known."""
+        table = self._state.table
+        return table.limits if table else routing.CallerLimits()
+
     async def answer_rest_at_shutdown(self) -> None:
         """Ends the requests that are in progress shortly before the kill."""
         await self._lifecycle.wait_for_final_answers()
@@ -143,10 +148,8 @@
         self, scope: Scope, receive: Receive
     ) -> HttpResponse | None:
         head = _build_request_head(scope)
-        table = self._state.table
-        limits = table.limits if table else routing.CallerLimits()
         try:
-            body = await _read_body(head, receive, limits.max_body_bytes)
+            body = await _read_body(head, receive, self.limits().max_body_bytes)
         except _BodyTooLarge:
             _LOG.info("gateway: refused a request: its body exceeds the limit")
             return HttpResponse(413, [(b"connection", b"close")])
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -20,6 +20,7 @@
 from geraniumstair import mirror
 from geraniumstair import observe
 from geraniumstair import peers
+from geraniumstair import routing
 from geraniumstair import wire
 from geraniumstair.gateway import _application
 from geraniumstair.gateway import _lifecycle
@@ -28,7 +29,10 @@
 from geraniumstair.gateway import _state
 
 _LOG = logging.getLogger(__name__)
-MAX_BODY_BYTES = 1024 * 1024
+# Readiness checks and metrics are few; their responses are up to a megabyte.
+_READINESS_RESOURCES = listeners.ResourceLimits(
+    max_bytes=8 * 1024 * 1024, max_connections=64
+)
 # How often a starting node checks whether the routes and the mirror are loaded.
 LOAD_CHECK_INTERVAL_S = 0.05
 # The settings file may change without a signal, so it is read at this interval.
@@ -59,6 +63,8 @@
         processor_cores: CPU time that the node may use, in cores.
         exposure_share: Greatest share of a service's requests that a possibly
             bad version may receive, 0 to 1.
+        memory_bytes: Memory that the process may use.
+        max_descriptors: File descriptors that the process may open.
     """
 
     node_id: str
@@ -76,6 +82,8 @@
     remote_cost_ms: float
     processor_cores: float
     exposure_share: float
+    memory_bytes: int
+    max_descriptors: int
 
 
 class Store(mirror.StoreReader, _presence.LeaseStore, Protocol):
@@ -317,27 +325,36 @@
     async def _serve_callers(
         self, application: _application.CallerApplication
     ) -> None:
-        await listeners.serve_http(
+        server = listeners.HttpServer(
             application,
-            self._settings.callers.address,
-            self._settings.callers.port,
-            MAX_BODY_BYTES,
+            application.limits,
+            listeners.derive_resource_limits(
+                self._settings.memory_bytes, self._settings.max_descriptors
+            ),
+            listeners.ListenerMetrics(observe.process_metrics()),
+        )
+        self._state_dump.register("callers", server.dump)
+        address = self._settings.callers
+        await server.serve(
+            await listeners.open_socket(address.address, address.port),
             self._lifecycle.wait_for_listener_close,
             graceful_timeout_s=self._lifecycle.drain_timeout_s,
         )
         self._callers_closed.set()
 
     async def _serve_readiness(self, address: peers.PeerAddress) -> None:
-        await listeners.serve_http(
+        server = listeners.HttpServer(
             _application.ReadinessApplication(
                 self._lifecycle,
                 self._settings.readiness_path,
                 observe.process_metrics().render,
                 self._state_dump.render,
             ),
-            address.address,
-            address.port,
-            MAX_BODY_BYTES,
+            routing.CallerLimits,
+            _READINESS_RESOURCES,
+        )
+        await server.serve(
+            await listeners.open_socket(address.address, address.port),
             trio.sleep_forever,
         )
 
--- a/src/geraniumstair/listeners/_listeners.py
+++ b/src/geraniumstair/listeners/asgi.py
@@ -1,4 +1,8 @@
-"""HTTP listeners of a process, served by hypercorn."""
+"""HTTP listeners of a process, served by hypercorn.
+
+`geraniumstair.platform` does not import this module: hypercorn and its
+libraries are a seventh of the time of its imports.
+"""
 
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -89,17 +93,3 @@
         shutdown_trigger=shutdown,
         task_status=task_status,
     )
-
-
-async def serve_lifespan(
-    receive: Callable[[], Awaitable[Any]],
-    send: Callable[[dict[str, Any]], Awaitable[None]],
-) -> None:
-    """Serves the ASGI lifespan scope; start-up and shutdown do nothing."""
-    while True:
-        message = await receive()
-        if message["type"] == "lifespan.startup":
-            await send({"type": "lifespan.startup.complete"})
-        elif message["type"] == "lifespan.shutdown":
-            await send({"type": "lifespan.shutdown.complete"})
-            return
--- a/src/geraniumstair/node/_node.py
+++ b/src/geraniumstair/node/_node.py
@@ -10,7 +10,6 @@
 from geraniumstair import console
 from geraniumstair import dispatch
 from geraniumstair import idempotency
-from geraniumstair import listeners
 from geraniumstair import membership
 from geraniumstair import observe
 from geraniumstair import peers
@@ -19,6 +18,7 @@
 from geraniumstair import wire
 from geraniumstair._generated import messages
 from geraniumstair._generated import settings as settings_models
+from geraniumstair.listeners import asgi
 from geraniumstair.node import _authority_reader
 from geraniumstair.node import _change_logger
 from geraniumstair.node import _gauges
@@ -214,7 +214,7 @@
             settings.node_id,
         )
         await nursery.start(
-            listeners.serve_http,
+            asgi.serve_http,
             console.build_operator_application(
                 operations, settings.operator_token
             ),
@@ -229,7 +229,7 @@
         application = search.build_caller_application(
             self._searcher, self._readiness, settings
         )
-        await listeners.serve_http(
+        await asgi.serve_http(
             application,
             settings.caller_listener.address,
             settings.caller_listener.port,
--- a/src/geraniumstair/platform/_decoder.py
+++ b/src/geraniumstair/platform/_decoder.py
@@ -73,6 +73,15 @@
     max_body_bytes: int = msgspec.field(
         name="MaxBodyBytes", default=1024 * 1024
     )
+    max_header_bytes: int = msgspec.field(
+        name="MaxHeaderBytes", default=16 * 1024
+    )
+    header_timeout_ms: float = msgspec.field(
+        name="HeaderTimeoutMs", default=3000.0
+    )
+    idle_timeout_ms: float = msgspec.field(
+        name="IdleTimeoutMs", default=15_000.0
+    )
 
 
 class _Config(msgspec.Struct):
@@ -258,7 +267,12 @@
             )
             for s in config.services
         },
-        routing.CallerLimits(max_body_bytes=config.limits.max_body_bytes),
+        routing.CallerLimits(
+            max_body_bytes=config.limits.max_body_bytes,
+            max_header_bytes=config.limits.max_header_bytes,
+            header_timeout_s=config.limits.header_timeout_ms / 1000,
+            idle_timeout_s=config.limits.idle_timeout_ms / 1000,
+        ),
     )
 
 
--- a/src/geraniumstair/platform/_settings.py
+++ b/src/geraniumstair/platform/_settings.py
@@ -16,6 +16,7 @@
 # Traffic between availability zones is charged for, so a node prefers endpoints
 # in its own zone while these are not much busier.
 REMOTE_COST_MS = 60.0
+_MIB = 1024 * 1024
 
 # msgspec is used in place of pydantic, whose import alone delays the start of
 # a node by a tenth of a second.
@@ -45,6 +46,8 @@
     # Usable share of each core, and the speed as a multiple of one core.
     core_share: float = msgspec.field(name="CpuShare", default=1.0)
     cores: float = msgspec.field(name="Cores", default=1.0)
+    memory_mb: float = msgspec.field(name="MemoryMb", default=512.0)
+    max_descriptors: int = msgspec.field(name="MaxFds", default=4096)
 
 
 class _StoreAddress(msgspec.Struct, frozen=True):
@@ -132,6 +135,8 @@
             remote_cost_ms=REMOTE_COST_MS,
             processor_cores=settings.limits.core_share * settings.limits.cores,
             exposure_share=bounds.exposure_share,
+            memory_bytes=int(settings.limits.memory_mb * _MIB),
+            max_descriptors=settings.limits.max_descriptors,
         )
     except ValueError as error:
         raise errors.SettingsError(str(error)) from error
--- a/src/geraniumstair/routing/_table.py
+++ b/src/geraniumstair/routing/_table.py
@@ -80,9 +80,16 @@
 
     Attributes:
         max_body_bytes: Largest body of a request.
+        max_header_bytes: Largest head of a request.
+        header_timeout_s: Greatest time between the first and the last byte of
+            a head.
+        idle_timeout_s: Greatest time in which a connection carries no request.
     """
 
-    max_body_bytes: int = 1024 * 1024
+    max_body_bytes: int = 256 * 1024
+    max_header_bytes: int = 16 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
 
 
 class RouteTable:
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -6,6 +6,7 @@
 import trio
 
 from geraniumstair import listeners
+from geraniumstair.listeners import asgi
 
 _REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 
@@ -49,7 +50,7 @@
         self.port = int(urls[0].rpartition(":")[2])
 
     async def _serve(self, nursery, *, task_status) -> None:
-        await listeners.serve_http(
+        await asgi.serve_http(
             _answer,
             "127.0.0.1",
             0,
