--- a/src/geraniumstair/endpoint_http/__init__.py
+++ b/src/geraniumstair/endpoint_http/__init__.py
@@ -5,6 +5,8 @@
 `dispatch` and `forward`.
 """
 
+from geraniumstair.endpoint_http._buffer_limit import MAX_BUFFERED_BYTES
+from geraniumstair.endpoint_http._buffer_limit import PROCESS_LIMIT
 from geraniumstair.endpoint_http._buffer_limit import BufferLimit
 from geraniumstair.endpoint_http._connect import connect
 from geraniumstair.endpoint_http._latency import LatencyWindow
@@ -16,6 +18,8 @@
     "BufferLimit",
     "InvalidResponse",
     "LatencyWindow",
+    "MAX_BUFFERED_BYTES",
+    "PROCESS_LIMIT",
     "Response",
     "ResponseParser",
     "connect",
--- a/src/geraniumstair/endpoint_http/_buffer_limit.py
+++ b/src/geraniumstair/endpoint_http/_buffer_limit.py
@@ -29,6 +29,10 @@
         self._sizes_bytes: dict[BufferOwner, int] = {}
         self._total_bytes = 0
 
+    def set_max_bytes(self, max_bytes: int) -> None:
+        """Sets the limit for what is recorded from now on."""
+        self._max_bytes = max_bytes
+
     @property
     def total_bytes(self) -> int:
         """Bytes that are buffered."""
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -14,6 +14,7 @@
 import trio
 
 from geraniumstair import discovery
+from geraniumstair import endpoint_http
 from geraniumstair import errors
 from geraniumstair import forward
 from geraniumstair import listeners
@@ -29,6 +30,8 @@
 from geraniumstair.gateway import _state
 
 _LOG = logging.getLogger(__name__)
+# Share of the process's memory for responses that endpoints are sending.
+_ENDPOINT_BUFFER_SHARE = 0.25
 # Readiness checks and metrics are few; their responses are up to a megabyte.
 _READINESS_RESOURCES = listeners.ResourceLimits(
     max_bytes=8 * 1024 * 1024, max_connections=64
@@ -183,6 +186,12 @@
 
     def _start_components(self, nursery: trio.Nursery) -> None:
         settings = self._settings
+        endpoint_http.PROCESS_LIMIT.set_max_bytes(
+            min(
+                endpoint_http.MAX_BUFFERED_BYTES,
+                int(settings.memory_bytes * _ENDPOINT_BUFFER_SHARE),
+            )
+        )
         metrics = forward.ForwardMetrics(observe.process_metrics())
         self._rollouts = _rollouts.Rollouts(
             settings.node_id,
--- a/src/geraniumstair/listeners/_body.py
+++ b/src/geraniumstair/listeners/_body.py
@@ -11,9 +11,10 @@
 # and go. A list of small chunks would take many times their size.
 BLOCK_BYTES = 16 * 1024
 _CHUNKED_HEAD = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-# Framing of a chunk of one byte takes five; chunk extensions and trailers take
-# more. What exceeds this factor and `max_header_bytes` is refused.
-_MAX_FRAMING_FACTOR = 8
+# Framing of a chunk of one byte takes five bytes, with a short extension twice
+# as many. What exceeds this factor and `max_header_bytes` is refused, because
+# the body that is received does not bound its processor time.
+_MAX_FRAMING_FACTOR = 16
 
 
 class BodyReader(Protocol):
--- a/src/geraniumstair/listeners/_connection.py
+++ b/src/geraniumstair/listeners/_connection.py
@@ -95,6 +95,8 @@
         self._phase = _eviction.Phase.TRANSFER
         self._since_s = trio.current_time()
         self._gone = False
+        # Nothing of the next request has arrived.
+        self._awaits_head = True
         # Memory of the request and the response, without received bytes.
         self._message_bytes = 0
         self.account = _memory.Account(context.budget, self._scope.cancel)
@@ -117,7 +119,7 @@
 
     def limit_idle_wait(self, deadline_s: float) -> None:
         """Closes the connection at that time if it carries no request."""
-        if not self._transport.buffer and self._message_bytes == 0:
+        if self._awaits_head:
             self._transport.limit_wait(deadline_s)
 
     async def serve(self) -> None:
@@ -128,7 +130,7 @@
                 while await self._serve_next():
                     self._phase = _eviction.Phase.IDLE
                     self._since_s = trio.current_time()
-        except _transport.ClientGone:
+        except (_transport.ClientGone, _transport.TimedOut):
             pass
         finally:
             self.account.set_held(0)
@@ -158,10 +160,14 @@
         )
         head_deadline_s = math.inf
         while True:
-            transport.buffer = transport.buffer.lstrip(b"\r\n")
+            while transport.buffer.startswith(b"\r\n"):
+                transport.buffer = transport.buffer[2:]
+            self._awaits_head = not transport.buffer
             if transport.buffer:
                 if head_deadline_s == math.inf:
                     self._phase = _eviction.Phase.TRANSFER
+                    # The time before the first byte does not count.
+                    transport.pace = _pace.TransferPace()
                     now_s = trio.current_time()
                     head_deadline_s = now_s + limits.header_timeout_s
                 data = self._take_head(limits.max_header_bytes)
@@ -246,7 +252,8 @@
         if self._gone:
             return
         size_bytes = sum(map(len, parts))
-        self._context.record_response(size_bytes)
+        if self._phase == _eviction.Phase.RUNNING:
+            self._context.record_response(size_bytes)
         self._message_bytes = size_bytes
         self._phase = _eviction.Phase.TRANSFER
         self._transport.pace = _pace.TransferPace()
--- a/src/geraniumstair/listeners/_head.py
+++ b/src/geraniumstair/listeners/_head.py
@@ -12,7 +12,6 @@
 HEAD_END = b"\r\n\r\n"
 _LINE_END = b"\r\n"
 _REQUEST_LINE = re.compile(rb"[!-~]+ [!-~]+ HTTP/1\.[01]")
-_MAX_LENGTH_DIGITS = 18
 
 
 class RefusedRequest(Exception):
@@ -146,8 +145,6 @@
     digits = lengths[0]
     if len(lengths) > 1 or not digits.isdigit():
         raise RefusedRequest(400, "the length is not valid")
-    if len(digits) > _MAX_LENGTH_DIGITS:
-        raise RefusedRequest(413, "the body is too large")
     return int(digits)
 
 
--- a/src/geraniumstair/listeners/_memory.py
+++ b/src/geraniumstair/listeners/_memory.py
@@ -64,10 +64,9 @@
         self.held_bytes += added_bytes
 
     def drop(self) -> None:
-        """Ends the connection to free its memory."""
-        if not self.dropped:
-            self.dropped = True
-            self._drop()
+        """Ends the connection; called by the budget only."""
+        self.dropped = True
+        self._drop()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
@@ -122,7 +121,7 @@
             excess_bytes = self.used_bytes - self._freeing_bytes
             excess_bytes -= self._max_bytes
             if excess_bytes > 0:
-                self._drop(
+                self._drop_for_memory(
                     _eviction.select_for_memory(
                         self._candidates(), excess_bytes
                     )
@@ -133,7 +132,7 @@
     async def reserve(self, added_bytes: int, account: Account) -> None:
         """Waits until memory is free, and adds it to that in use."""
         if not self._waiters and self._fits(added_bytes):
-            self.used_bytes += added_bytes
+            self._add(added_bytes, account)
             return
         waiter = _Waiter(
             account, added_bytes, trio.current_time(), trio.Event()
@@ -174,7 +173,7 @@
         selected = _eviction.select_when_stalled(
             others, needed_bytes, deadlock=deadlock
         )
-        self._drop(selected)
+        self._drop_for_memory(selected)
         if not others:
             # A single request may exceed the share for waiting connections.
             self._grant_first()
@@ -182,14 +181,24 @@
     def _candidates(self) -> list[_eviction.Candidate[Account]]:
         return [c for c in self._list_candidates() if not c.key.dropped]
 
-    def _drop(self, accounts: list[Account]) -> None:
-        if not accounts:
-            return
-        freed_bytes = sum(account.held_bytes for account in accounts)
-        self._freeing_bytes += freed_bytes
+    def drop(self, accounts: Iterable[Account]) -> int:
+        """Ends connections; returns the bytes that become free."""
+        freed_bytes = 0
         for account in accounts:
-            account.drop()
-        self._report_dropped(len(accounts), freed_bytes)
+            if not account.dropped:
+                freed_bytes += account.held_bytes
+                account.drop()
+        self._freeing_bytes += freed_bytes
+        return freed_bytes
+
+    def _drop_for_memory(self, accounts: list[Account]) -> None:
+        if accounts:
+            self._report_dropped(len(accounts), self.drop(accounts))
+
+    def _add(self, added_bytes: int, account: Account) -> None:
+        self.used_bytes += added_bytes
+        if account.dropped:
+            self._freeing_bytes += added_bytes
 
     def _fits(self, added_bytes: int) -> bool:
         return self.used_bytes + added_bytes <= self._wait_bytes
@@ -200,6 +209,6 @@
 
     def _grant_first(self) -> None:
         waiter = self._waiters.popleft()
-        self.used_bytes += waiter.added_bytes
+        self._add(waiter.added_bytes, waiter.account)
         self._last_grant_s = trio.current_time()
         waiter.granted.set()
--- a/src/geraniumstair/listeners/_server.py
+++ b/src/geraniumstair/listeners/_server.py
@@ -5,6 +5,7 @@
 import errno
 import logging
 import math
+import select
 import socket
 from typing import Any
 
@@ -16,6 +17,7 @@
 from geraniumstair.listeners import _limits
 from geraniumstair.listeners import _memory
 from geraniumstair.listeners import _metrics
+from geraniumstair.listeners import _transport
 
 _LOG = logging.getLogger(__name__)
 BACKLOG = 1024
@@ -138,13 +140,15 @@
             task_status: Reports the port that is served.
         """
         async with trio.open_nursery() as nursery:
-            async with trio.open_nursery() as accepting:
-                accepting.start_soon(self._accept, listener, nursery)
-                nursery.start_soon(self.budget.run)
-                task_status.started(listener.socket.getsockname()[1])
-                await shutdown()
-                accepting.cancel_scope.cancel()
-            await trio.aclose_forcefully(listener)
+            try:
+                async with trio.open_nursery() as accepting:
+                    accepting.start_soon(self._accept, listener, nursery)
+                    nursery.start_soon(self.budget.run)
+                    task_status.started(listener.socket.getsockname()[1])
+                    await shutdown()
+                    accepting.cancel_scope.cancel()
+            finally:
+                listener.socket.close()
             self.closing = True
             self.idle_until_s = trio.current_time() + LINGER_S
             for connection in self._connections:
@@ -162,7 +166,9 @@
         self, listener: trio.SocketListener, nursery: trio.Nursery
     ) -> None:
         while True:
-            await trio.lowlevel.wait_readable(listener.socket)
+            # A connection is accepted only when there is a place for it.
+            if not _transport.is_ready(listener.socket, select.POLLIN):
+                await trio.lowlevel.wait_readable(listener.socket)
             if len(self._connections) >= self._resources.max_connections:
                 await self._make_room()
                 continue
@@ -177,9 +183,9 @@
                 self._drop_for_descriptors()
                 await trio.sleep(_CAPACITY_RETRY_S)
                 continue
-            nursery.start_soon(self._serve_connection, stream)
-            # The limit counts connections whose tasks have not started.
-            await trio.lowlevel.checkpoint()
+            connection = _connection.Connection(stream, self)
+            self._connections[connection] = None
+            nursery.start_soon(self._serve_connection, connection, stream)
 
     async def _make_room(self) -> None:
         """Waits until a connection ends; drops some after a while."""
@@ -193,10 +199,9 @@
     def _drop_for_descriptors(self) -> None:
         count = max(1, int(self._resources.max_connections * _DROPPED_SHARE))
         accounts = _eviction.select_for_descriptors(
-            self._list_candidates(), count
+            [c for c in self._list_candidates() if not c.key.dropped], count
         )
-        for account in accounts:
-            account.drop()
+        self.budget.drop(accounts)
         if accounts:
             reason = _metrics.DropReason.DESCRIPTORS
             self.metrics.dropped.labels(reason).inc(len(accounts))
@@ -207,9 +212,9 @@
                 ),
             )
 
-    async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        connection = _connection.Connection(stream, self)
-        self._connections[connection] = None
+    async def _serve_connection(
+        self, connection: _connection.Connection, stream: trio.SocketStream
+    ) -> None:
         try:
             await connection.serve()
         except Exception:
--- a/src/geraniumstair/listeners/_transport.py
+++ b/src/geraniumstair/listeners/_transport.py
@@ -53,7 +53,7 @@
             TimedOut: The client sent nothing in time.
         """
         socket = self._stream.socket
-        if _is_ready(socket, select.POLLIN):
+        if is_ready(socket, select.POLLIN):
             return
         pace_deadline_s = self.pace.start_wait(trio.current_time())
         if deadline_s == math.inf:
@@ -69,7 +69,7 @@
         if (
             scope is not None
             and scope.cancelled_caught
-            and not _is_ready(socket, select.POLLIN)
+            and not is_ready(socket, select.POLLIN)
         ):
             raise TimedOut
 
@@ -111,7 +111,7 @@
         finally:
             self.pace.end_wait(trio.current_time())
         if scope.cancelled_caught:
-            if not _is_ready(self._stream.socket, select.POLLOUT):
+            if not is_ready(self._stream.socket, select.POLLOUT):
                 raise TimedOut
             return 0
         self.pace.moved_bytes += sent_bytes
@@ -132,7 +132,8 @@
                 return
 
 
-def _is_ready(socket: trio.socket.SocketType, event: int) -> bool:
+def is_ready(socket: trio.socket.SocketType, event: int) -> bool:
+    """Returns whether an event of `select.poll` holds for a socket now."""
     poll = select.poll()
     poll.register(socket.fileno(), event)
     return bool(poll.poll(0))
