--- a/src/geraniumstair/platform/_settings.py
+++ b/src/geraniumstair/platform/_settings.py
@@ -22,6 +22,7 @@
 # An act of the holder takes up to 1.2 s of its lease, so a lease of one second
 # would leave no time to act.
 _MIN_LEASE_S = 2
+_MIB = 1024 * 1024
 
 # msgspec is used in place of pydantic, whose import alone delays the start of
 # a node by a tenth of a second.
@@ -59,6 +60,8 @@
     # Usable share of each core, and the speed as a multiple of one core.
     core_share: float = msgspec.field(name="CpuShare", default=1.0)
     cores: float = msgspec.field(name="Cores", default=1.0)
+    memory_mb: float = msgspec.field(name="MemoryMb", default=512.0)
+    max_descriptors: int = msgspec.field(name="MaxFds", default=4096)
 
 
 class _StoreAddress(msgspec.Struct, frozen=True):
@@ -165,6 +168,8 @@
                 bounds.strict_revoke, bounds.revoke_ms / 1000
             ),
             usage=_build_usage_settings(settings),
+            memory_bytes=int(settings.limits.memory_mb * _MIB),
+            max_descriptors=settings.limits.max_descriptors,
         )
     except ValueError as error:
         raise errors.SettingsError(str(error)) from error
