--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -7,6 +7,7 @@
 import logging
 import random
 import signal
+import socket
 import time
 from typing import Any
 from typing import Protocol
@@ -108,6 +109,7 @@
         settings: Settings at the start.
         adapters: Adapters to the platform.
         load_settings: Reads the current settings; raises `SettingsError`.
+        callers_listener: Listening socket for callers; None opens one.
     """
 
     def __init__(
@@ -115,7 +117,9 @@
         settings: GatewaySettings,
         adapters: GatewayAdapters,
         load_settings: Callable[[], GatewaySettings],
+        callers_listener: socket.socket | None = None,
     ) -> None:
+        self._callers_listener = callers_listener
         self._settings = settings
         self._adapters = adapters
         self._load_settings = load_settings
@@ -324,6 +328,7 @@
             MAX_BODY_BYTES,
             self._lifecycle.wait_for_listener_close,
             graceful_timeout_s=self._lifecycle.drain_timeout_s,
+            listener=self._callers_listener,
         )
         self._callers_closed.set()
 
--- a/src/geraniumstair/listeners/_listeners.py
+++ b/src/geraniumstair/listeners/_listeners.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
+import socket
 from typing import Any
 
 import hypercorn
@@ -69,6 +70,7 @@
     shutdown: Callable[[], Awaitable[None]],
     *,
     graceful_timeout_s: float = GRACEFUL_TIMEOUT_S,
+    listener: socket.socket | None = None,
     task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves an ASGI application until a shutdown is requested.
@@ -81,11 +83,16 @@
         shutdown: Returns when the listener has to close. Requests in
             progress then have `graceful_timeout_s` to finish.
         graceful_timeout_s: Time for requests in progress, in s.
+        listener: Listening socket, which is closed with the listener; None
+            opens one at the address.
         task_status: Reports the URLs that are served.
     """
+    config = _build_config(address, port, max_body_bytes, graceful_timeout_s)
+    if listener is not None:
+        config.bind = [f"fd://{listener.detach()}"]
     await hypercorn.trio.serve(
         application,
-        _build_config(address, port, max_body_bytes, graceful_timeout_s),
+        config,
         shutdown_trigger=shutdown,
         task_status=task_status,
     )
