Let requests wait for a node that has not read the store yet

Cause: callers that reach a starting node between the opening of its listener and its first read of the store got 503 at once. After all processes of a site were killed, a retry reached another node that knew as little.

gateway/_start_wait decides how long such a request waits: 2 s at most, and until 50 ms before the end of the caller's time. The wait ends when the mirror is complete, from the store or from a peer. From then on a node that knows no routes or no endpoint of a service refuses at once, as before. A caller that leaves, and the end of the grace time, end the wait as well.

Considered: one limit that counts from the start of the node. While the store is down for a whole site, requests would again be refused at once though they have time left. Waiting for each service until it has an endpoint: a node that holds the whole contents knows that there is none, and a caller may find one through another route or later.

The first endpoints now also count as loaded without a delay of up to 50 ms.

--- a/src/geraniumstair/gateway/__init__.py
+++ b/src/geraniumstair/gateway/__init__.py
@@ -20,6 +20,7 @@
 from geraniumstair.gateway._rollouts import RolloutOrder
 from geraniumstair.gateway._rollouts import RolloutRecord
 from geraniumstair.gateway._rollouts import Rollouts
+from geraniumstair.gateway._start_wait import StartWait
 from geraniumstair.gateway._state import DesiredState
 from geraniumstair.gateway._state import EndpointChanged
 from geraniumstair.gateway._state import EndpointEntryRemoved
@@ -52,6 +53,7 @@
     "RolloutRecordRemoved",
     "Rollouts",
     "RoutesChanged",
+    "StartWait",
     "StateChange",
     "StateDecoder",
     "ZoneChanged",
--- a/src/geraniumstair/gateway/_application.py
+++ b/src/geraniumstair/gateway/_application.py
@@ -18,6 +18,7 @@
 from geraniumstair import observe
 from geraniumstair import routing
 from geraniumstair.gateway import _lifecycle
+from geraniumstair.gateway import _start_wait
 
 _LOG = logging.getLogger(__name__)
 
@@ -94,6 +95,7 @@
         forwarder: Forwards requests to endpoints.
         codec: Converts HTTP messages of callers.
         lifecycle: Reports whether the node is stopping.
+        start_wait: Holds requests while the node starts; None holds none.
     """
 
     def __init__(
@@ -102,7 +104,9 @@
         forwarder: forward.Forwarder,
         codec: CallerCodec,
         lifecycle: _lifecycle.Lifecycle,
+        start_wait: _start_wait.StartWait | None = None,
     ) -> None:
+        self._start_wait = start_wait
         self._state = state
         self._forwarder = forwarder
         self._codec = codec
@@ -155,6 +159,8 @@
             _LOG.info("gateway: refused a request: %s", parsed.err_value)
             return HttpResponse(400, [], parsed.err_value.encode())
         request = parsed.ok_value
+        if not await self._wait_for_start(request, receive):
+            return None
         refusal, route = self._find_route(request)
         if refusal is not None or route is None:
             return self._codec.render(
@@ -162,6 +168,27 @@
             )
         return await self._forward(request, route, receive)
 
+    async def _wait_for_start(
+        self, request: forward.CallerRequest, receive: Receive
+    ) -> bool:
+        """Waits while the node starts; returns False if the caller leaves."""
+        start_wait = self._start_wait
+        if start_wait is None or start_wait.is_over:
+            return True
+        has_left = True
+        async with trio.open_nursery() as nursery:
+            self._running.add(nursery.cancel_scope)
+            try:
+                nursery.start_soon(
+                    _cancel_on_disconnect, receive, nursery.cancel_scope
+                )
+                await start_wait.wait(request)
+                has_left = False
+                nursery.cancel_scope.cancel()
+            finally:
+                self._running.discard(nursery.cancel_scope)
+        return not has_left or self._lifecycle.final_answers_due
+
     def _find_route(
         self, request: forward.CallerRequest
     ) -> tuple[forward.Refused | None, routing.Route | None]:
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -26,6 +26,7 @@
 from geraniumstair.gateway import _lifecycle
 from geraniumstair.gateway import _presence
 from geraniumstair.gateway import _rollouts
+from geraniumstair.gateway import _start_wait
 from geraniumstair.gateway import _state
 
 _LOG = logging.getLogger(__name__)
@@ -251,7 +252,13 @@
         self._state_dump.register("mirror", self._dump_mirror)
         self._state_dump.register("rollouts", self._rollouts.dump)
         application = _application.CallerApplication(
-            state, forwarder, self._adapters.codec, self._lifecycle
+            state,
+            forwarder,
+            self._adapters.codec,
+            self._lifecycle,
+            _start_wait.StartWait(
+                self._mirror.complete, observe.process_metrics()
+            ),
         )
         for task in (
             self._store_watcher.run,
@@ -347,7 +354,8 @@
         )
 
     async def _mark_ready_when_loaded(self, state: _state.DesiredState) -> None:
-        while state.table is None or not self._mirror.position:
+        await self._mirror.complete.wait()
+        while state.table is None:
             await trio.sleep(LOAD_CHECK_INTERVAL_S)
         self._lifecycle.loaded = True
         _LOG.info(
--- a/src/geraniumstair/mirror/_mirror.py
+++ b/src/geraniumstair/mirror/_mirror.py
@@ -10,6 +10,8 @@
 from collections.abc import Sequence
 import dataclasses
 
+import trio
+
 # Deleted keys are kept as tombstones, so that an older value from a peer does
 # not restore them. The limit is far above the number of endpoints and nodes.
 MAX_TOMBSTONES = 20_000
@@ -38,11 +40,13 @@
             before the first complete read.
         newest_revision: Greatest revision at which an item is known to have
             changed, or may have been deleted.
+        complete: Set after the first complete read.
     """
 
     def __init__(self) -> None:
         self.position = 0
         self.newest_revision = 0
+        self.complete = trio.Event()
         self._items: dict[str, MirrorItem] = {}
         self._subscribers: list[Subscriber] = []
         # Pairs of revisions between which keys may have been deleted that this
@@ -70,6 +74,8 @@
         advanced = position > complete_until
         self.position = max(complete_until, position)
         self._merge(i for i in items if i.revision > complete_until)
+        if self.position:
+            self.complete.set()
         return advanced
 
     def replace(self, items: Iterable[MirrorItem], position: int) -> bool:
--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -118,10 +118,11 @@
         "fields": [],
         "body": b"",
         "has_body": False,
-        "received_s": trio.current_time(),
         "remaining_ms": 1000.0,
-    }
-    return forward.CallerRequest(**(fields | changes))
+    } | changes
+    if "received_s" not in fields:
+        fields["received_s"] = trio.current_time()
+    return forward.CallerRequest(**fields)
 
 
 def endpoint_reply(
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,11 +7,13 @@
 
 import cappa
 import result
+import trio
 import yaml
 
 from geraniumstair import configuration
 from geraniumstair import dispatch  # noqa: F401 - registers its metrics
 from geraniumstair import forward
+from geraniumstair import gateway
 from geraniumstair import observe
 from geraniumstair import search
 from geraniumstair import store
@@ -145,6 +147,7 @@
         test_node_parts.register_fake_gauges(metrics)
         search.SearchMetrics(metrics)
         forward.ForwardMetrics(metrics)
+        gateway.StartWait(trio.Event(), metrics)
         store.EtcdStore(["http://127.0.0.1:1"], registry=metrics)
         names = set()
         for registry in (metrics, observe.process_metrics()):
