Call the store without httpcore on the users' platform

Cause: importing httpcore takes a tenth of the start of a process. It brings its synchronous half, h2, h11, anyio and certifi, of which the node on the users' platform needs nothing: the store's URL has no TLS, and each call is one exchange over HTTP/1.1.

StoreConnection keeps what it decides (attempts, failover, effects, closing idle connections after a call without an answer) and gets a Transport. HttpcoreTransport holds the former code, for etcd, which may use TLS and streams its watches.

Ruled out: httpcore's asynchronous half alone; its package imports both.

--- a/src/geraniumstair/platform/_store.py
+++ b/src/geraniumstair/platform/_store.py
@@ -143,6 +143,7 @@
             [f"http://{address}"],
             timeout_ms=TIMEOUT_MS,
             max_concurrency=MAX_CONCURRENCY,
+            transport=store.PlainTransport(MAX_CONCURRENCY),
             metrics=metrics,
             not_executed_statuses=frozenset([_UNAVAILABLE_STATUS]),
         )
--- a/src/geraniumstair/store/_connection.py
+++ b/src/geraniumstair/store/_connection.py
@@ -1,41 +1,20 @@
 """HTTP calls to the store, with timeouts, failover and failure effects."""
 
-from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import logging
 import time
-from typing import Any
 
-import httpcore
 import result
 import trio
 
 from geraniumstair import observe
 from geraniumstair.store import _protocol
+from geraniumstair.store import _transport
 
 _LOG = logging.getLogger(__name__)
-_HEADERS = [("content-type", "application/json")]
-# Base64 makes a value of 1 MB a third larger, and a read of a prefix returns
-# many values.
-MAX_REPLY_BYTES = 64 * 1024 * 1024
 _ERROR_DETAIL_BYTES = 200
 _TIMEOUT_DETAIL = "timeout"
-_CLOSE_TIMEOUT_S = 0.1
-_HTTP_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.TimeoutException,
-    httpcore.ProtocolError,
-    httpcore.UnsupportedProtocol,
-    OSError,
-)
-# Trace events of httpcore after which bytes of a request may have been sent.
-_SEND_EVENTS = frozenset(
-    [
-        "http11.send_request_headers.started",
-        "http2.send_request_headers.started",
-    ]
-)
 
 
 class StoreMetrics:
@@ -67,23 +46,6 @@
         )
 
 
-class _SendTrace:
-    """Trace callback that records whether bytes may have been sent."""
-
-    def __init__(self) -> None:
-        self.sent = False
-
-    async def __call__(self, event: str, info: Mapping[str, Any]) -> None:
-        if event in _SEND_EVENTS:
-            self.sent = True
-
-    @property
-    def effect(self) -> _protocol.Effect:
-        if self.sent:
-            return _protocol.Effect.UNKNOWN
-        return _protocol.Effect.NONE
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallFailure(_protocol.StoreFailure):
     """A call that failed or that the service rejected.
@@ -122,6 +84,7 @@
         urls: Base URLs of the service's members, in order of preference.
         timeout_ms: Limit of a call, including waiting and all attempts.
         max_concurrency: Limit of calls in flight; watches are not counted.
+        transport: Makes the HTTP exchanges.
         metrics: Metrics of the calls.
         not_executed_statuses: HTTP statuses of 500 and above with which the
             service states that it did not execute the call.
@@ -133,15 +96,14 @@
         *,
         timeout_ms: float,
         max_concurrency: int,
+        transport: _transport.Transport,
         metrics: StoreMetrics,
         not_executed_statuses: frozenset[int] = frozenset(),
     ) -> None:
         if not urls:
             raise ValueError("the store needs at least one URL")
         self.metrics = metrics
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=None, max_keepalive_connections=max_concurrency
-        )
+        self._transport = transport
         self._urls = [url.rstrip("/") for url in urls]
         self._url_index = 0
         self._timeout_s = timeout_ms / 1000
@@ -247,7 +209,7 @@
             url = self.url
             self.metrics.calls.labels(kind).inc()
             outcome = await self._attempt_call(
-                method, url + path, body, deadline_s, attempts_left, repeatable
+                method, url, path, body, deadline_s, attempts_left, repeatable
             )
             if isinstance(outcome, result.Ok):
                 return outcome
@@ -265,6 +227,7 @@
         self,
         method: str,
         url: str,
+        path: str,
         body: bytes,
         deadline_s: float,
         attempts_left: int,
@@ -273,8 +236,8 @@
         attempt_timeout_s = (
             max(0.0, deadline_s - trio.current_time()) / attempts_left
         )
-        trace = _SendTrace()
-        timeouts = {"connect": attempt_timeout_s, "pool": attempt_timeout_s}
+        trace = _transport.SendTrace()
+        request = _transport.HttpRequest(method, url, path, body)
         attempt_deadline_s = (
             trio.current_time() + attempt_timeout_s
             if repeatable
@@ -283,52 +246,33 @@
         detail = _TIMEOUT_DETAIL
         with trio.move_on_at(attempt_deadline_s):
             try:
-                async with self.pool.stream(
-                    method,
-                    url,
-                    headers=_HEADERS,
-                    content=body,
-                    extensions={"timeout": timeouts, "trace": trace},
-                ) as response:
-                    return await _read_reply(
-                        response, self._not_executed_statuses
-                    )
-            except _HTTP_ERRORS as error:
-                detail = f"{type(error).__name__}: {error}"
+                return _classify_reply(
+                    await self._transport.exchange(
+                        request, attempt_timeout_s, trace
+                    ),
+                    self._not_executed_statuses,
+                )
+            except _transport.ExchangeError as error:
+                detail = str(error)
         if detail == _TIMEOUT_DETAIL:
-            await self._close_idle_connections()
-        return _build_failure(trace.effect, detail)
-
-    async def _close_idle_connections(self) -> None:
-        """Closes idle connections after a call got no answer.
-
-        They may be silent like the one of that call, and each later call would
-        wait for its whole timeout to find it out.
-        """
-        with trio.move_on_after(_CLOSE_TIMEOUT_S):
-            for connection in self.pool.connections:
-                if connection.is_idle():
-                    await connection.aclose()
+            # They may be silent like the connection of this call, and each
+            # later call would wait for its whole timeout to find it out.
+            await self._transport.close_idle()
+        effect = _protocol.Effect.NONE
+        if trace.sent:
+            effect = _protocol.Effect.UNKNOWN
+        return _build_failure(effect, detail)
 
 
-async def _read_reply(
-    response: httpcore.Response, not_executed_statuses: frozenset[int]
+def _classify_reply(
+    reply: _transport.HttpReply, not_executed_statuses: frozenset[int]
 ) -> result.Result[Reply, CallFailure]:
-    # A list of small chunks would take many times their size.
-    received = bytearray()
-    async for chunk in response.aiter_stream():
-        received += chunk
-        if len(received) > MAX_REPLY_BYTES:
-            return _build_failure(
-                _protocol.Effect.UNKNOWN, "the reply is too large"
-            )
-    body = bytes(received)
-    if response.status == 200:
-        return result.Ok(Reply(body, response.headers))
-    text = body[:_ERROR_DETAIL_BYTES].decode(errors="replace")
-    detail = f"HTTP status {response.status}: {text}"
-    if 400 <= response.status < 500:
-        return _build_failure(_protocol.Effect.NONE, detail, response.status)
-    if response.status in not_executed_statuses:
+    if reply.status == 200:
+        return result.Ok(Reply(reply.body, reply.headers))
+    text = reply.body[:_ERROR_DETAIL_BYTES].decode(errors="replace")
+    detail = f"HTTP status {reply.status}: {text}"
+    if 400 <= reply.status < 500:
+        return _build_failure(_protocol.Effect.NONE, detail, reply.status)
+    if reply.status in not_executed_statuses:
         return _build_failure(_protocol.Effect.NONE, detail)
     return _build_failure(_protocol.Effect.UNKNOWN, detail)
--- a/src/geraniumstair/store/_etcd.py
+++ b/src/geraniumstair/store/_etcd.py
@@ -15,6 +15,7 @@
 from geraniumstair import observe
 from geraniumstair.store import _connection
 from geraniumstair.store import _etcd_wire
+from geraniumstair.store import _httpcore_transport
 from geraniumstair.store import _protocol
 
 _LOG = logging.getLogger(__name__)
@@ -29,11 +30,7 @@
 # A line holds a value of 1 MB in base64 and its other fields.
 _MAX_WATCH_LINE_BYTES = 16 * 1024 * 1024
 _WATCH_ERRORS = (
-    httpcore.NetworkError,
-    httpcore.TimeoutException,
-    httpcore.ProtocolError,
-    httpcore.UnsupportedProtocol,
-    OSError,
+    *_httpcore_transport.HTTP_ERRORS,
     msgspec.MsgspecError,
 )
 
@@ -66,10 +63,13 @@
         registry: observe.MetricsRegistry | None = None,
     ) -> None:
         self.metrics = _connection.StoreMetrics(registry)
+        transport = _httpcore_transport.HttpcoreTransport(max_concurrency)
+        self._pool = transport.pool
         self._connection = _connection.StoreConnection(
             urls,
             timeout_ms=timeout_ms,
             max_concurrency=max_concurrency,
+            transport=transport,
             metrics=self.metrics,
         )
         self._timeout_s = timeout_ms / 1000
@@ -77,7 +77,7 @@
 
     async def aclose(self) -> None:
         """Closes the connections."""
-        await self._connection.pool.aclose()
+        await self._pool.aclose()
 
     async def get(
         self, key: str
@@ -202,7 +202,7 @@
             "write": self._timeout_s,
             "read": WATCH_IDLE_S,
         }
-        async with self._connection.pool.stream(
+        async with self._pool.stream(
             "POST",
             f"{url}/v3/watch",
             headers=[("content-type", "application/json")],
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,6 +1,7 @@
 """Tests of the etcd client against a stand-in server over loopback."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import functools
 import json
@@ -14,6 +15,7 @@
 
 from geraniumstair import observe
 from geraniumstair import store
+from geraniumstair.store import _transport
 from standins import key_value
 
 # Ends a test that hangs; no passing test waits for it.
@@ -57,7 +59,7 @@
             nursery.cancel_scope.cancel()
 
 
-async def _get_closed_port_url() -> str:
+async def get_closed_port_url() -> str:
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     port = listeners[0].socket.getsockname()[1]
     await listeners[0].aclose()
@@ -128,7 +130,7 @@
     def test_effect_of_failures(self) -> None:
         async def main() -> None:
             async with _run_stand_in() as stand_in:
-                closed = await _get_closed_port_url()
+                closed = await get_closed_port_url()
                 unreachable_client = store.EtcdStore([closed], timeout_ms=5000)
                 failed = (
                     await unreachable_client.commit(_build_put("k", b"1"))
@@ -153,7 +155,7 @@
     def test_write_of_unknown_effect_does_not_fail_over(self) -> None:
         async def main() -> None:
             async with _run_stand_in() as stand_in:
-                closed = await _get_closed_port_url()
+                closed = await get_closed_port_url()
                 client = stand_in.create_client(urls=[closed])
                 outcome = (await client.commit(_build_put("k", b"1"))).unwrap()
                 self.assertTrue(outcome.committed)
@@ -287,6 +289,13 @@
     """Guards against calls that wait on connections which went silent."""
 
     def test_a_call_after_a_timeout_uses_no_earlier_connection(self) -> None:
+        for transport in (store.PlainTransport, store.HttpcoreTransport):
+            with self.subTest(transport.__name__):
+                self._check_silence(transport)
+
+    def _check_silence(
+        self, transport: Callable[[int], _transport.Transport]
+    ) -> None:
         # All open connections to the store went silent while new ones worked.
         # Each idle one cost another timeout, and nodes learned of endpoints
         # that left only after four seconds.
@@ -316,6 +325,7 @@
                     [f"http://127.0.0.1:{port}"],
                     timeout_ms=300,
                     max_concurrency=8,
+                    transport=transport(8),
                     metrics=store.StoreMetrics(),
                 )
 
