Collect no garbage while the libraries are imported

Cause: the collector runs many times over objects that nearly all stay until the process ends. The program now disables it during the imports and enables it after gc.freeze().

A higher threshold gave the same as disabling it, or nothing.

New tests: the program imports none of a list of heavy modules, and nothing but the standard library is loaded before the listener for callers is open. Tests: test_platform_start.

--- a/src/geraniumstair/platform/__main__.py
+++ b/src/geraniumstair/platform/__main__.py
@@ -1,5 +1,6 @@
 """Starts one node on the users' platform."""
 
+import gc
 import signal
 import sys
 
@@ -14,6 +15,10 @@
     # Importing the libraries takes most of the start. Callers that connect
     # meanwhile are not refused.
     listener = _early_listener.open_listener()
+    # Nearly all that the imports create stays until the process ends.
+    # Collecting garbage meanwhile takes 6% of their time, and not collecting it
+    # takes 1 MB. `_process.run` enables the collector again.
+    gc.disable()
     from geraniumstair.platform import _process
 
     return _process.run(listener)
--- a/src/geraniumstair/platform/_early_listener.py
+++ b/src/geraniumstair/platform/_early_listener.py
@@ -6,7 +6,6 @@
 
 import json
 import os
-import pathlib
 import socket
 
 # Environment variable with the path of the settings file.
@@ -24,8 +23,9 @@
         what is wrong.
     """
     try:
-        path = pathlib.Path(os.environ[SETTINGS_VARIABLE])
-        listen = json.loads(path.read_bytes())["Listen"]
+        # Importing `pathlib` would open the listener 8 ms later.
+        with open(os.environ[SETTINGS_VARIABLE], "rb") as file:
+            listen = json.load(file)["Listen"]
         address, _, port = listen["Front"].rpartition(":")
         return _listen(address, int(port))
     except (
--- a/src/geraniumstair/platform/_process.py
+++ b/src/geraniumstair/platform/_process.py
@@ -93,6 +93,7 @@
     # Modules and classes exist until the process ends, so the garbage
     # collector can skip them.
     gc.freeze()
+    gc.enable()
     try:
         trio.run(_run, path, listener)
     except errors.SettingsError as error:
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -142,6 +142,73 @@
                     self.assertIsNone(_early_listener.open_listener())
 
 
+class ImportTest(unittest.TestCase):
+    """Guards against imports that delay the start of each process."""
+
+    # A program that needs one of them imports it where it is used.
+    _HEAVY_MODULES = frozenset(
+        [
+            "anyio",
+            "cappa",
+            "certifi",
+            "geraniumstair._generated.settings",
+            "geraniumstair.store._etcd",
+            "geraniumstair.store._httpcore_transport",
+            "geraniumstair.store._vm_list",
+            "httpcore",
+            "pydantic",
+            "yaml",
+        ]
+    )
+    # All that may be imported before the listener for callers is open.
+    _PACKAGES_BEFORE_LISTENER = frozenset(
+        [
+            "geraniumstair",
+            "geraniumstair.platform",
+            "geraniumstair.platform._early_listener",
+        ]
+    )
+
+    def _import(self, module: str) -> frozenset[str]:
+        """Returns the modules that are loaded after an import."""
+        program = f"import sys, {module}; print(*sys.modules)"
+        output = subprocess.run(
+            [sys.executable, "-c", program],
+            stdout=subprocess.PIPE,
+            text=True,
+            timeout=_TIMEOUT_S,
+            check=True,
+        ).stdout
+        return frozenset(output.split())
+
+    def test_the_program_imports_no_heavy_module(self) -> None:
+        modules = self._import("geraniumstair.platform._process")
+        self.assertEqual(modules & self._HEAVY_MODULES, set())
+
+    def test_the_early_listener_imports_only_the_standard_library(self) -> None:
+        modules = self._import(
+            "geraniumstair.platform._early_listener"
+        ) - self._import("__main__")
+        allowed = self._PACKAGES_BEFORE_LISTENER | sys.stdlib_module_names
+        self.assertEqual(
+            {
+                m
+                for m in modules
+                if m not in allowed and m.partition(".")[0] not in allowed
+            },
+            set(),
+        )
+        self.assertEqual(
+            {m for m in modules if m.startswith("geraniumstair")},
+            self._PACKAGES_BEFORE_LISTENER,
+        )
+        # These take as long as a small library.
+        self.assertEqual(
+            modules & {"asyncio", "logging", "ssl", "subprocess", "typing"},
+            set(),
+        )
+
+
 class EarlyConnectionTest(StartTestCase):
     """Guards against a start that refuses callers until all is imported."""
 
