--- a/src/geraniumstair/gateway/_application.py
+++ b/src/geraniumstair/gateway/_application.py
@@ -19,6 +19,7 @@
 from geraniumstair import routing
 from geraniumstair.gateway import _authentication
 from geraniumstair.gateway import _lifecycle
+from geraniumstair.gateway import _start_wait
 
 _LOG = logging.getLogger(__name__)
 
@@ -97,6 +98,7 @@
         lifecycle: Reports whether the node is stopping.
         authenticator: Admits requests by their keys; None checks them without
             a bound on revocation.
+        start_wait: Holds requests while the node starts; None holds none.
     """
 
     def __init__(
@@ -106,10 +108,12 @@
         codec: CallerCodec,
         lifecycle: _lifecycle.Lifecycle,
         authenticator: _authentication.Authenticator | None = None,
+        start_wait: _start_wait.StartWait | None = None,
     ) -> None:
         self._authenticator = authenticator or _authentication.Authenticator(
             codec
         )
+        self._start_wait = start_wait
         self._state = state
         self._forwarder = forwarder
         self._codec = codec
@@ -164,12 +168,35 @@
         if isinstance(parsed, result.Err):
             _LOG.info("gateway: refused a request: %s", parsed.err_value)
             return HttpResponse(400, [], parsed.err_value.encode())
+        if not await self._wait_for_start(parsed.ok_value, receive):
+            return None
         admitted = self._admit(parsed.ok_value)
         if isinstance(admitted, forward.Refused):
             return self._codec.render(admitted)
         request, route = admitted
         return await self._forward(request, route, receive)
 
+    async def _wait_for_start(
+        self, request: forward.CallerRequest, receive: Receive
+    ) -> bool:
+        """Waits while the node starts; returns False if the caller leaves."""
+        start_wait = self._start_wait
+        if start_wait is None or start_wait.is_over:
+            return True
+        has_left = True
+        async with trio.open_nursery() as nursery:
+            self._running.add(nursery.cancel_scope)
+            try:
+                nursery.start_soon(
+                    _cancel_on_disconnect, receive, nursery.cancel_scope
+                )
+                await start_wait.wait(request)
+                has_left = False
+                nursery.cancel_scope.cancel()
+            finally:
+                self._running.discard(nursery.cancel_scope)
+        return not has_left or self._lifecycle.final_answers_due
+
     def _admit(
         self, request: forward.CallerRequest
     ) -> forward.Refused | tuple[forward.CallerRequest, routing.Route]:
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -7,6 +7,7 @@
 import logging
 import random
 import signal
+import socket
 import time
 from typing import Any
 from typing import Protocol
@@ -31,6 +32,7 @@
 from geraniumstair.gateway import _lifecycle
 from geraniumstair.gateway import _presence
 from geraniumstair.gateway import _rollouts
+from geraniumstair.gateway import _start_wait
 from geraniumstair.gateway import _state
 from geraniumstair.gateway import _usage
 
@@ -138,6 +140,7 @@
         settings: Settings at the start.
         adapters: Adapters to the platform.
         load_settings: Reads the current settings; raises `SettingsError`.
+        callers_listener: Listening socket for callers; None opens one.
     """
 
     def __init__(
@@ -145,7 +148,9 @@
         settings: GatewaySettings,
         adapters: GatewayAdapters,
         load_settings: Callable[[], GatewaySettings],
+        callers_listener: socket.socket | None = None,
     ) -> None:
+        self._callers_listener = callers_listener
         self._settings = settings
         self._adapters = adapters
         self._load_settings = load_settings
@@ -315,6 +320,9 @@
             self._key_revocation.build_authenticator(
                 self._adapters.codec, observe.process_metrics()
             ),
+            _start_wait.StartWait(
+                self._mirror.complete, observe.process_metrics()
+            ),
         )
         for task in (
             self._store_watcher.run,
@@ -397,8 +405,13 @@
         )
         self._state_dump.register("callers", server.dump)
         address = self._settings.callers
+        listener = (
+            await listeners.open_socket(address.address, address.port)
+            if self._callers_listener is None
+            else listeners.adopt_socket(self._callers_listener)
+        )
         await server.serve(
-            await listeners.open_socket(address.address, address.port),
+            listener,
             self._lifecycle.wait_for_listener_close,
             graceful_timeout_s=self._lifecycle.drain_timeout_s,
         )
@@ -421,7 +434,8 @@
         )
 
     async def _mark_ready_when_loaded(self, state: _state.DesiredState) -> None:
-        while state.table is None or not self._mirror.position:
+        await self._mirror.complete.wait()
+        while state.table is None:
             await trio.sleep(LOAD_CHECK_INTERVAL_S)
         self._lifecycle.loaded = True
         _LOG.info(
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,12 +7,14 @@
 
 import cappa
 import result
+import trio
 import yaml
 
 from geraniumstair import accounts
 from geraniumstair import configuration
 from geraniumstair import dispatch  # noqa: F401 - registers its metrics
 from geraniumstair import forward
+from geraniumstair import gateway
 from geraniumstair import observe
 from geraniumstair import search
 from geraniumstair import store
@@ -147,6 +149,7 @@
         search.SearchMetrics(metrics)
         forward.ForwardMetrics(metrics)
         accounts.AccountMetrics(metrics)
+        gateway.StartWait(trio.Event(), metrics)
         store.EtcdStore(["http://127.0.0.1:1"], registry=metrics)
         names = set()
         for registry in (metrics, observe.process_metrics()):
