--- a/tests/test_gateway_start_wait.py
+++ b/tests/test_gateway_start_wait.py
@@ -68,7 +68,7 @@
                 fixture.forwarder,
                 _http.PlatformCodec(),
                 gateway.Lifecycle(6.0),
-                _start_wait.StartWait(contents.complete),
+                start_wait=_start_wait.StartWait(contents.complete),
             )
             started_s = trio.current_time()
             messages = [{"type": "http.request", "body": b""}]
