Let the soak's store answer reads of one key

Nodes under strict revocation read the configuration's key. Without it, the simulated store ended the connection of such a call.

--- a/soak/_store.py
+++ b/soak/_store.py
@@ -99,6 +99,8 @@
                     "StoreRevision": self.state.revision,
                 },
             )
+        if path == "/api/kv-key":
+            return self._read_key(values["Key"].encode())
         if path == "/api/kv-watch":
             return await self._watch(
                 int(values["after"]), int(values["WaitMs"])
@@ -107,6 +109,13 @@
             return self._commit(json.loads(request.body))
         return self._handle_lease(path, request.body)
 
+    def _read_key(self, key: bytes) -> lean_http.HttpResponse:
+        records = self.state.read(key)
+        if not records:
+            return _json_response(404, {})
+        revision = {"StoreRevision": self.state.revision}
+        return _json_response(200, _encode_record(records[0]) | revision)
+
     async def _watch(self, after: int, wait_ms: int) -> lean_http.HttpResponse:
         if after + 1 < self.state.compact_revision:
             return _json_response(410, {})
