--- a/src/geraniumstair/mirror/_echoes.py
+++ b/src/geraniumstair/mirror/_echoes.py
@@ -11,8 +11,10 @@
 import dataclasses
 import secrets
 
-# Counters of 12 s at the shortest interval of notices (0.2 s). An echo of an
-# older one would prove nothing useful.
+# An echo of an earlier counter proves nothing. The clocks of two nodes may run
+# at different rates; 1% of this time is a third of the margin of revocation.
+MAX_ECHO_AGE_S = 10.0
+# Counters of that time at the shortest interval of notices (0.2 s), and more.
 MAX_SENT_COUNTERS = 64
 # A new process starts at a random counter, so that echoes of the counters of an
 # earlier process with the same name are not mistaken for its own.
@@ -74,9 +76,10 @@
             process, or too old.
         """
         sent_s = self._sent_s.get(echo.counter)
-        if sent_s is None or not echo.held_s >= 0:
+        now_s = self._clock()
+        if sent_s is None or now_s - sent_s > MAX_ECHO_AGE_S:
             return None
-        return min(sent_s + echo.held_s, self._clock())
+        return min(sent_s + max(0.0, echo.held_s), now_s)
 
     def forget(self, peers: frozenset[str]) -> None:
         """Drops what is known of peers other than these."""
--- a/tests/test_key_freshness.py
+++ b/tests/test_key_freshness.py
@@ -42,6 +42,20 @@
         self.assertEqual(first.prove_sent_s(echo), 1.0)
         self.assertIsNone(second.prove_sent_s(echo))
 
+    def test_an_old_counter_proves_nothing(self) -> None:
+        # A clock that is fast by 1% makes 0.1 s of ten.
+        times_s = [0.0]
+        tracker = _echoes.EchoTracker(lambda: times_s[-1])
+        counter = tracker.start_round()
+        for now_s, proven_s in ((9.9, 9.8), (10.1, None)):
+            times_s.append(now_s)
+            echo = _echoes.Echo(counter, now_s - 0.1)
+            proven = tracker.prove_sent_s(echo)
+            if proven_s is None:
+                self.assertIsNone(proven)
+            else:
+                self.assertAlmostEqual(proven, proven_s)
+
     def test_a_claim_counts_once_this_mirror_holds_its_changes(self) -> None:
         sender, receiver = (
             mirror.FreshnessExchange(mirror.Freshness(clock, lambda: True))
