Split the builders of account tests and check more outcomes

The settings, the counters, an application without a bound on revocation, and the offset of watches (no read of the store with a change each 2 s) now have a check.

--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -18,6 +18,7 @@
 from tests import builders_gateway
 
 _KEY = "k3y-of-the-account"
+_OUTCOMES = {200: "accepted", 401: "unknown_key", 503: "stale"}
 
 
 class AccountDirectoryTest(unittest.TestCase):
@@ -157,8 +158,12 @@
                 served = builders.serve(builders.directory(a=[_KEY]), headers)
                 self.assertEqual(served.status, 401)
                 self.assertIsNone(served.request)
-        served = builders.serve(builders.directory(), [good])
-        self.assertEqual(served.status, 401)
+        for known, age_s in (
+            (builders.directory(), 0.0),
+            (builders.directory(a=["k"]), None),
+        ):
+            served = builders.serve(known, [good], age_s=age_s)
+            self.assertEqual(served.status, 401)
 
     def test_what_a_node_cannot_know_precedes_what_it_knows(self) -> None:
         # Oldest freshness that suffices, in s; the margin is 0.3 s.
@@ -183,6 +188,11 @@
                 )
                 self.assertEqual(served.status, status)
                 self.assertEqual(served.request is not None, status == 200)
+                outcome = _OUTCOMES.get(status, "")
+                self.assertEqual(
+                    f'outcome="{outcome}"}} 1.0' in served.metrics,
+                    bool(outcome) and not keyless,
+                )
                 retry_after = served.headers.get(b"retry-after")
                 self.assertEqual(
                     retry_after, b"0.100" if status == 503 else None
--- a/tests/test_key_freshness.py
+++ b/tests/test_key_freshness.py
@@ -13,10 +13,13 @@
 from geraniumstair import mirror
 from geraniumstair.gateway import _key_revocation
 from geraniumstair.mirror import _echoes
-from tests import builders_accounts as builders
+from tests import builders_accounts
 from tests import builders_gateway
+from tests import builders_key_freshness as builders
 
-USABLE_S = accounts.RevocationLimits(True, builders.REVOKE_S).usable_age_s
+USABLE_S = accounts.RevocationLimits(
+    True, builders_accounts.REVOKE_S
+).usable_age_s
 
 
 class FreshnessTest(unittest.TestCase):
@@ -102,7 +105,9 @@
                 if version % 20 == 0:
                     site.store.put_version(version)
             # An answer with changes proves no more than its call's start.
-            self.assertLess(site.store.calls["get"], 2 * 20)
+            # Without an offset of the next watches, the freshness would grow
+            # old enough to read the store after each change.
+            self.assertEqual(site.store.calls["get"], 0)
 
         builders_gateway.run_on_virtual_clock(test)
 
@@ -241,11 +246,11 @@
 
     def test_the_newer_version_stays_in_force(self) -> None:
         for_versions = {7: ["old"], 8: ["new"]}
-        state = builders.desired_state()
+        state = builders_accounts.desired_state()
         for version, generation in ((7, 1), (8, 1), (7, 2)):
             state.apply(
                 [
-                    builders.configuration_item(
+                    builders_accounts.configuration_item(
                         version, generation, a=for_versions[version]
                     )
                 ]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,6 +12,7 @@
 import trio
 import trio.testing
 
+from geraniumstair import accounts
 from geraniumstair import canary
 from geraniumstair import discovery
 from geraniumstair import errors
@@ -435,6 +436,13 @@
         self.assertEqual(settings.callers, peers.PeerAddress("10.0.0.1", 1))
         self.assertEqual(settings.metrics.port, 7395)
         self.assertEqual(settings.budget.extra_repeats, 54.0)
+        self.assertEqual(
+            settings.revocation, accounts.RevocationLimits(False, 5.0)
+        )
+        settings = self._load(Bounds={"StrictRevoke": True, "RevokeMs": 2500})
+        self.assertEqual(
+            settings.revocation, accounts.RevocationLimits(True, 2.5)
+        )
 
     def test_invalid_settings_are_rejected(self) -> None:
         for changes in (
