Wake an idle configuration reader once a second

An idle node wakes up less often, and notices renew the freshness of most nodes before the reader sees that accounts are in force.

--- a/src/geraniumstair/gateway/_configuration_reader.py
+++ b/src/geraniumstair/gateway/_configuration_reader.py
@@ -20,7 +20,8 @@
 
 _LOG = logging.getLogger(__name__)
 # How often an idle reader checks whether strict revocation has come into force.
-IDLE_CHECK_INTERVAL_S = 0.5
+# Two rounds of notices renew the freshness of most nodes within this time.
+IDLE_CHECK_INTERVAL_S = 1.0
 _MIN_SLEEP_S = 0.02
 # After an answer, so that a slow store is not asked all the time.
 _MIN_READ_INTERVAL_S = 0.2
