--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -15,6 +15,7 @@
 from geraniumstair import observe
 from geraniumstair import search
 from geraniumstair import store
+from geraniumstair import usage
 from geraniumstair._generated import settings
 from geraniumstair.cli import _commands
 from geraniumstair.cli import _exit_codes
@@ -145,6 +146,7 @@
         test_node_parts.register_fake_gauges(metrics)
         search.SearchMetrics(metrics)
         forward.ForwardMetrics(metrics)
+        usage.UsageMetrics(metrics).register_gauges(lambda: 0, lambda: False)
         store.EtcdStore(["http://127.0.0.1:1"], registry=metrics)
         names = set()
         for registry in (metrics, observe.process_metrics()):
