Tell windows of former holders from those that the API did not confirm

The successors logged a window of their predecessors as not confirmed, although it had been sent and was only too old to be repeated. It has a reason of its own now.

The median is computed here, because no other module of the users' program imports statistics and fractions.

Tests: tests.test_usage, test_usage_site, test_forward_usage, test_platform_usage and test_docs (88 tests) pass.

--- a/src/geraniumstair/usage/_report.py
+++ b/src/geraniumstair/usage/_report.py
@@ -53,6 +53,8 @@
     """No holder recorded it in time, so it was not sent."""
     NOT_CONFIRMED = "not_confirmed"
     """The API confirmed no attempt in time; one may have arrived."""
+    NOT_REPEATED = "not_repeated"
+    """A former holder may have sent it; it was too late to repeat it."""
     UNKNOWN = "unknown"
     """No node reported counts, and this one ran for part of the window."""
 
--- a/src/geraniumstair/usage/_reporter.py
+++ b/src/geraniumstair/usage/_reporter.py
@@ -114,6 +114,8 @@
         self._stored_window = -1
         # The report that is being recorded; its counts do not change any more.
         self._pending: _report.Report | None = None
+        # Newest window of which this process has called the API.
+        self._tried_window = -1
 
     async def run(self) -> None:
         """Records and sends reports until cancelled."""
@@ -159,9 +161,10 @@
     def _give_up_expired(self, now_s: float) -> None:
         unsent = self._queue.find_unsent()
         if unsent is not None and self._queue.is_expired(unsent, now_s):
-            self._give_up(
-                unsent.window, _report.Missing.NOT_CONFIRMED, unsent.counts
-            )
+            reason = _report.Missing.NOT_REPEATED
+            if unsent.window == self._tried_window:
+                reason = _report.Missing.NOT_CONFIRMED
+            self._give_up(unsent.window, reason, unsent.counts)
         for window in self._queue.find_expired(now_s):
             self._give_up(
                 window,
@@ -260,6 +263,7 @@
     # ---- call ----
 
     async def _send(self, report: _report.Report, token: int) -> bool:
+        self._tried_window = report.window
         outcome = await self._api.send_report(
             report,
             token,
--- a/src/geraniumstair/usage/_site_clock.py
+++ b/src/geraniumstair/usage/_site_clock.py
@@ -8,7 +8,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Mapping
-import statistics
+from collections.abc import Sequence
 import time
 from typing import Any
 
@@ -92,7 +92,7 @@
 
     def _compute_offset_s(self) -> float:
         own_s = self._wall_clock() - self._boot_clock()
-        return statistics.median(
+        return _find_median(
             [own_s, *(max(offsets) for offsets, _ in self._samples.values())]
         )
 
@@ -104,3 +104,10 @@
             "own_error_s": round(own_s - self._compute_offset_s(), 3),
             "clocks": 1 + len(self._samples),
         }
+
+
+def _find_median(values: Sequence[float]) -> float:
+    """Returns the median; `statistics` takes long to import."""
+    ordered = sorted(values)
+    middle = len(ordered) // 2
+    return (ordered[middle] + ordered[~middle]) / 2
--- a/tests/test_usage_site.py
+++ b/tests/test_usage_site.py
@@ -120,6 +120,11 @@
             await trio.sleep(builders.WINDOW_S - 0.3)
             site.kill(site.find_holder().node_id)
             await trio.sleep(40)
+            # The former holder has sent the window before.
+            reports = site.find_holder().reports.dump()["reports"]
+            self.assertEqual(
+                [m["reason"] for m in reports["missed"]], ["not_repeated"]
+            )
 
         site = _run(test)
         self._check_promises(site)
