Keep a holder that is cut off from other nodes from reporting

Cause: a holder that reached the store but no other node would have reported its own counts as those of the site until the cut healed, and a holder that started after a restore of the store would have reported windows again whose record the restore had lost.

A node that reaches fewer than half of the candidates neither acquires the duty nor acts. Totals carry the newest recorded window that their sender knows.

Considered: reaching half of all nodes. Finding that out needs pings to 195 nodes; the candidates are at most three for each zone.

Tests: tests.test_usage and test_usage_site (66 tests) pass; without each of the two changes, its site test fails (trial). tests.test_docs, test_wire, test_tools pass.

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -932,6 +932,15 @@
     Rises with each message of the process.
     """
     windows: list[WindowCounts]
+    recorded_window: Annotated[
+        int,
+        Meta(
+            description="Newest window that the sender knows to be recorded, also by a store that was restored since; -1 if unknown."
+        ),
+    ]
+    """
+    Newest window that the sender knows to be recorded, also by a store that was restored since; -1 if unknown.
+    """
 
 
 class SnapshotQuery(Message):
--- a/src/geraniumstair/gateway/_usage.py
+++ b/src/geraniumstair/gateway/_usage.py
@@ -50,6 +50,9 @@
     def send(self, node_id: str, message: _struct.Message) -> bool:
         """Sends a one-way message."""
 
+    def is_responsive(self, node_id: str) -> bool:
+        """Returns whether a stream is open and the peer answers on it."""
+
     def register_handler(
         self, message_type: type, handler: peers.AsyncHandler
     ) -> None:
@@ -190,10 +193,22 @@
                 is_due = trio.current_time() >= time_due_s
                 if is_due:
                     time_due_s = trio.current_time() + TIME_INTERVAL_S
+                self._check_reach()
                 self._send_time(to_all=is_due)
                 self._send_totals()
             await trio.sleep(usage.SEND_INTERVAL_S)
 
+    def _check_reach(self) -> None:
+        """Finds out whether this node is cut off from the other candidates."""
+        if self._election.needs_reach:
+            self._election.set_reached(
+                sum(
+                    node_id == self._node_id
+                    or self._network.is_responsive(node_id)
+                    for node_id in self._election.candidates
+                )
+            )
+
     # ---- time of day ----
 
     def _send_time(self, *, to_all: bool) -> None:
@@ -221,7 +236,9 @@
         key = self._election.key
         term = key.revision if key is not None else 0
         self._sender.set_receivers(self._election.list_receivers(), term)
-        due = self._sender.collect(self._site_clock.now_s())
+        due = self._sender.collect(
+            self._site_clock.now_s(), self._queue.recorded_window
+        )
         for node_id, message in due.items():
             if node_id == self._node_id:
                 self._apply_totals(node_id, message)
@@ -238,6 +255,9 @@
 
     def _apply_totals(self, sender: str, message: messages.UsageTotals) -> None:
         now_s = self._site_clock.now_s()
+        # A holder that started after a restore of the store knows no other
+        # record than the stored one.
+        self._queue.exclude_through(message.recorded_window, now_s)
         for row in message.windows:
             counts = dict(zip(row.accounts, row.counts, strict=False))
             self._totals.apply(
--- a/src/geraniumstair/usage/_election.py
+++ b/src/geraniumstair/usage/_election.py
@@ -36,6 +36,9 @@
 # A holder that is no candidate gives the duty up after this time. Other nodes
 # may have no stream to it, but registrations may also be missing for a moment.
 NOT_CANDIDATE_S = 5.0
+# A holder that reaches fewer than half of the candidates does not act, because
+# it lacks the totals of others, and gives the duty up after this time.
+ISOLATED_S = 2.0
 # A key that names this node outside of its term is removed after this time, in
 # which the mirror learns that the key is gone. It belongs to an earlier
 # process, or comes from the copy from which the store was restored.
@@ -100,6 +103,9 @@
         self._clock = clock
         self._candidates: list[str] = []
         self._candidate_s = clock()
+        # When this node last reached half of the candidates.
+        self._reach_s = clock()
+        self._has_reach = True
         self._last_holder = ""
         # Since when the key is as it is; infinite until the mirror is loaded.
         self._key_since_s = math.inf
@@ -114,6 +120,28 @@
         """Sets the candidates; all nodes set nearly the same ones."""
         self._candidates = rank_candidates(candidates)
 
+    @property
+    def candidates(self) -> Sequence[str]:
+        """The candidates, which need not be reachable."""
+        return self._candidates
+
+    @property
+    def needs_reach(self) -> bool:
+        """True if this node holds the duty or may try to acquire it."""
+        return self._term is not None or (
+            self.key is None and self._node_id in self._candidates
+        )
+
+    def set_reached(self, reached: int) -> None:
+        """Sets the number of candidates that this node reaches.
+
+        Args:
+            reached: The number, this node included.
+        """
+        self._has_reach = 2 * reached >= len(self._candidates)
+        if self._has_reach:
+            self._reach_s = self._clock()
+
     def mark_loaded(self) -> None:
         """Records that the mirror is complete, so a missing key is gone."""
         if self._key_since_s == math.inf:
@@ -172,6 +200,7 @@
             self._term is not None
             or self.key is not None
             or self._node_id not in ranked
+            or not self._has_reach
             or now_s < self._retry_s
         ):
             return False
@@ -197,13 +226,17 @@
         )
 
     def should_resign(self) -> bool:
-        """Returns whether this node gives the duty up: it is no candidate."""
+        """Returns whether this node gives the duty up.
+
+        It is no candidate any more, or is cut off from the others.
+        """
         now_s = self._clock()
         if self._node_id in self._candidates:
             self._candidate_s = now_s
-        return (
-            self._term is not None
-            and now_s > self._candidate_s + NOT_CANDIDATE_S
+        if self._term is None:
+            return False
+        return now_s > self._candidate_s + NOT_CANDIDATE_S or (
+            not self._has_reach and now_s > self._reach_s + ISOLATED_S
         )
 
     def find_acting_token(self, call_s: float) -> int | None:
@@ -213,7 +246,7 @@
             call_s: Time that the act may take from now on.
         """
         term = self._term
-        if term is None:
+        if term is None or not self._has_reach:
             return None
         now_s = self._clock()
         first_s = term.acquired_s + self._quiet_s + QUIET_MARGIN_S
--- a/src/geraniumstair/usage/_holder.py
+++ b/src/geraniumstair/usage/_holder.py
@@ -112,7 +112,7 @@
             if election.token:
                 await self.resign("reports are off, or the node stops")
         elif election.should_resign():
-            await self.resign("this node is no candidate any more")
+            await self.resign("this node is no candidate, or is cut off")
         elif election.should_renew():
             await self._renew()
         elif election.should_acquire():
--- a/src/geraniumstair/usage/_report.py
+++ b/src/geraniumstair/usage/_report.py
@@ -177,6 +177,21 @@
             self._raise_floor(window)
         return self.newest is None
 
+    def exclude_through(self, window: int, now_s: float) -> None:
+        """Excludes windows that another node knows to be recorded.
+
+        Args:
+            window: The newest of these windows; negative if none is known.
+            now_s: The site's time, in s since 1970.
+        """
+        if 0 <= window <= self._windows.find_window(now_s):
+            self._raise_floor(window)
+
+    @property
+    def recorded_window(self) -> int:
+        """Newest window that this node knows to be recorded; -1 if unknown."""
+        return self.newest.window if self.newest is not None else -1
+
     def _raise_floor(self, window: int) -> None:
         if self._floor is None or window > self._floor:
             self._floor = window
--- a/src/geraniumstair/usage/_sender.py
+++ b/src/geraniumstair/usage/_sender.py
@@ -50,11 +50,14 @@
             self._sent.clear()
         self._sent = {n: self._sent.get(n, {}) for n in node_ids}
 
-    def collect(self, now_s: float) -> dict[str, messages.UsageTotals]:
+    def collect(
+        self, now_s: float, recorded_window: int
+    ) -> dict[str, messages.UsageTotals]:
         """Returns the messages that are due, by receiver.
 
         Args:
             now_s: The site's time, in s since 1970.
+            recorded_window: Newest window that is known to be recorded.
         """
         versions = self._counter.list_versions()
         due: dict[str, messages.UsageTotals] = {}
@@ -75,6 +78,7 @@
                     process_id=self._process_id,
                     sequence=self._sequence,
                     windows=changed,
+                    recorded_window=recorded_window,
                 )
         return due
 
--- a/tests/builders_usage.py
+++ b/tests/builders_usage.py
@@ -366,6 +366,10 @@
             if node_id != self._node_id and not node.network.cut
         )
 
+    def is_responsive(self, node_id: str) -> bool:
+        """Returns whether a node lives and is not cut off."""
+        return node_id in self.connected_nodes()
+
     def send(self, node_id: str, message: Any) -> bool:
         """Delivers a message later, unless it is lost."""
         if node_id not in self.connected_nodes():
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -184,7 +184,7 @@
         self.sender.set_receivers(["h", "d"], 1)
 
     def _collect(self) -> dict[str, messages.UsageTotals]:
-        return self.sender.collect(self.clocks.true_s())
+        return self.sender.collect(self.clocks.true_s(), 5)
 
     def test_only_changes_are_sent(self) -> None:
         self.counter.count("a", 0.0)
@@ -311,6 +311,27 @@
         self.clocks.now_s += 5.1
         self.assertTrue(self.election.should_resign())
 
+    def test_a_node_that_is_cut_off_from_others_neither_acts_nor_tries(
+        self,
+    ) -> None:
+        # It lacks their totals; its reports would be wrong.
+        self._begin()
+        self.clocks.now_s += 4
+        self._renew()
+        self.election.set_reached(2)
+        self.assertEqual(self.election.find_acting_token(1.0), 7)
+        self.election.set_reached(1)
+        self.assertIsNone(self.election.find_acting_token(1.0))
+        self.assertFalse(self.election.should_resign())
+        self.clocks.now_s += 2.1
+        self.assertTrue(self.election.should_resign())
+        self.election.end_term()
+        self.election.mark_loaded()
+        self.clocks.now_s += 9
+        self.assertFalse(self.election.should_acquire())
+        self.election.set_reached(2)
+        self.assertTrue(self.election.should_acquire())
+
     def test_failed_attempts_become_rare(self) -> None:
         self.election.mark_loaded()
         self.clocks.now_s += 10
@@ -339,6 +360,18 @@
         assert newest is not None
         self.assertEqual(newest.window, 9)
 
+    def test_windows_that_others_know_to_be_recorded_are_not_reported(
+        self,
+    ) -> None:
+        # The store was restored, and this process started afterwards.
+        self.queue.observe(usage.Report(9, {"a": 1}))
+        self.queue.exclude_through(11, 60.0)
+        self.assertIsNone(self.queue.find_next(63.0))
+        self.assertEqual(self.queue.find_next(68.0), 12)
+        # The clock of another node is wrong.
+        self.queue.exclude_through(50, 60.0)
+        self.assertEqual(self.queue.find_next(68.0), 12)
+
     def test_a_successor_repeats_the_recorded_report(self) -> None:
         report = usage.Report(9, {"a": 1})
         self.queue.observe(report)
--- a/tests/test_usage_site.py
+++ b/tests/test_usage_site.py
@@ -270,6 +270,29 @@
         self.assertTrue(late)
         self.assertNotIn(node_id, [call.node_id for call in late])
 
+    def test_a_holder_cut_off_from_other_nodes_gives_the_duty_up(self) -> None:
+        # Its own counts are a third of the truth.
+        cut = []
+
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 40)
+            await _wait_for(lambda: len(site.api.calls) == 2)
+            holder = site.find_holder()
+            # It gets no requests, because its counts reach nobody.
+            site.idle_nodes.add(holder.node_id)
+            await trio.sleep(1.2)
+            holder.network.cut = True
+            cut.append((holder.node_id, trio.current_time()))
+            await trio.sleep(30)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 5)
+        node_id, at_s = cut[0]
+        late = [c.node_id for c in site.api.calls if c.time_s > at_s]
+        self.assertTrue(late)
+        self.assertNotIn(node_id, late)
+
     def test_a_holder_that_repeats_a_report_stops_with_its_lease(self) -> None:
         # The record exists, so only the lease ends the repeats.
         cut = []
@@ -405,6 +428,28 @@
         self._check_counts(site, 0, 9)
         self.assertGreater(len(site.api.calls), 8)
 
+    def test_a_holder_that_started_after_the_restore(self) -> None:
+        # It knows the restored record only; the other nodes know the newer one.
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 70)
+            await _wait_for(lambda: len(site.api.calls) == 2)
+            copy = site.store.copy()
+            await _wait_for(lambda: len(site.api.calls) == 4)
+            site.store.restore(copy)
+            node_id = next(
+                n for n in site.nodes if n != site.api.calls[3].node_id
+            )
+            site.kill(node_id)
+            for node in site.nodes.values():
+                node.stopping = True
+            fresh = site.start(node_id)
+            await _wait_for(lambda: len(site.api.calls) > 4)
+            self.assertEqual(site.find_holder(), fresh)
+            await trio.sleep(10)
+
+        site = _run(test)
+        self._check_promises(site)
+
     def test_a_restored_store_without_any_key(self) -> None:
         async def test(site: builders.UsageSite) -> None:
             copy = site.store.copy()
