--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -18,6 +18,7 @@
 from geraniumstair import observe
 from geraniumstair import search
 from geraniumstair import store
+from geraniumstair import usage
 from geraniumstair._generated import settings
 from geraniumstair.cli import _commands
 from geraniumstair.cli import _exit_codes
@@ -150,6 +151,7 @@
         forward.ForwardMetrics(metrics)
         accounts.AccountMetrics(metrics)
         gateway.StartWait(trio.Event(), metrics)
+        usage.UsageMetrics(metrics).register_gauges(lambda: 0, lambda: False)
         store.EtcdStore(["http://127.0.0.1:1"], registry=metrics)
         names = set()
         for registry in (metrics, observe.process_metrics()):
