Import the library for metrics after the start

Cause: importing prometheus_client brings its exposition with an HTTP server, parsers of mail and urllib, which is a tenth of the start of a process. It has no narrower import, because the package imports all of it.

MetricsRegistry now returns metrics that record the calls until the library is loaded, and then pass them on (observe/_deferred). The library still holds all metrics. A node imports it 3 s after its routes are loaded, in a thread, when the requests that waited for its start have been served; reading the metrics loads it at once. 10,000 recorded calls load it as well, so that the records stay small (2 MB). The byte counters of the peer streams register with the registry instead of the library.

Ruled out: counters of our own that make samples when they are read; they would be a second library for metrics.

bench/claim_keeper reads its counter through the registry.

--- a/bench/claim_keeper.py
+++ b/bench/claim_keeper.py
@@ -14,6 +14,7 @@
 import trio
 
 from geraniumstair import idempotency
+from geraniumstair import observe
 from geraniumstair import store
 from geraniumstair._generated import codes
 from geraniumstair._generated import messages
@@ -51,7 +52,10 @@
 
 
 async def _run(port: int, seed: int, duration_s: float) -> dict[str, float]:
-    kv_store = store.EtcdStore([f"http://127.0.0.1:{port}"], prefix="bench/")
+    metrics = observe.MetricsRegistry()
+    kv_store = store.EtcdStore(
+        [f"http://127.0.0.1:{port}"], prefix="bench/", registry=metrics
+    )
     claim_server = idempotency.ClaimServer(kv_store)
     callers = _Callers(claim_server, seed)
     async with trio.open_nursery() as nursery:
@@ -66,8 +70,12 @@
         elapsed_s = time.perf_counter() - started_s
         cpu_s = time.process_time() - cpu_started_s
         nursery.cancel_scope.cancel()
-    counter = kv_store.metrics.calls.labels("txn")
-    transactions = next(iter(counter.collect())).samples[0].value
+    transactions = (
+        metrics.registry.get_sample_value(
+            "geraniumstair_store_calls_total", {"kind": "txn"}
+        )
+        or 0.0
+    )
     await kv_store.aclose()
     latencies_ms = sorted(callers.latencies_ms)
     return {
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -33,6 +33,9 @@
 MAX_BODY_BYTES = 1024 * 1024
 # How often a starting node checks whether the routes and the mirror are loaded.
 LOAD_CHECK_INTERVAL_S = 0.05
+# The library for metrics is imported this long after the routes are loaded,
+# when the requests that waited for the node have been served.
+METRICS_DELAY_S = 3.0
 # The settings file may change without a signal, so it is read at this interval.
 RELOAD_INTERVAL_S = 5.0
 # Fields of the settings that take effect without a restart.
@@ -363,6 +366,10 @@
             state.table.version,
             len(list(self._registry.entries())),
         )
+        await trio.sleep(METRICS_DELAY_S)
+        # In a thread, because the import would stop the node for 0.05 s.
+        await trio.to_thread.run_sync(observe.import_library)
+        observe.process_metrics().load()
 
     def _dump_mirror(self) -> Mapping[str, Any]:
         return {
--- a/src/geraniumstair/observe/__init__.py
+++ b/src/geraniumstair/observe/__init__.py
@@ -10,6 +10,7 @@
 from geraniumstair.observe._logging import fields
 from geraniumstair.observe._logging import get_component_logger
 from geraniumstair.observe._metrics import MetricsRegistry
+from geraniumstair.observe._metrics import import_library
 from geraniumstair.observe._metrics import process_metrics
 from geraniumstair.observe._state_dump import StateDump
 
@@ -21,5 +22,6 @@
     "get_component_logger",
     "configure_logging",
     "fields",
+    "import_library",
     "process_metrics",
 ]
--- a/src/geraniumstair/observe/_metrics.py
+++ b/src/geraniumstair/observe/_metrics.py
@@ -3,9 +3,13 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import functools
+from typing import TYPE_CHECKING
+from typing import Any
 
-import prometheus_client
-from prometheus_client import registry as prometheus_registry
+from geraniumstair.observe import _deferred
+
+if TYPE_CHECKING:
+    from prometheus_client import registry as prometheus_registry
 
 _PREFIX = "geraniumstair"
 
@@ -16,10 +20,6 @@
     1.28, 2.56, 5.12, 10.24, 60.0,
 )  # fmt: skip
 
-# The creation time of each series would double the number of lines, and it is
-# not used.
-prometheus_client.disable_created_metrics()
-
 
 class MetricsRegistry:
     """Creates metrics named `geraniumstair_<component>_<name>`.
@@ -27,17 +27,66 @@
     Names end in their unit: `_seconds`, `_bytes`, `_pct`, or `_total` for a
     counter. Label values come from fixed sets, for example the result codes.
 
+    The library is imported when the metrics are needed for the first time; see
+    `load`.
+
     Args:
-        collectors: Registry of the metrics; None creates a private one, so that
-            several components can run in one test process.
+        is_process_wide: Uses the library's own registry, which also holds the
+            metrics of the process. Otherwise the registry is a private one, so
+            that several components can run in one test process.
     """
 
-    def __init__(
-        self, collectors: prometheus_registry.CollectorRegistry | None = None
-    ) -> None:
-        if collectors is None:
-            collectors = prometheus_registry.CollectorRegistry()
-        self.registry = collectors
+    def __init__(self, *, is_process_wide: bool = False) -> None:
+        self._is_process_wide = is_process_wide
+        self._registry: prometheus_registry.CollectorRegistry | None = None
+        self._deferred: list[_deferred.DeferredMetric] = []
+        self._collectors: list[Any] = []
+        self._recorded_calls = 0
+
+    @property
+    def registry(self) -> "prometheus_registry.CollectorRegistry":
+        """The library's registry."""
+        return self.load()
+
+    def load(self) -> "prometheus_registry.CollectorRegistry":
+        """Creates all metrics in the library's registry, which it returns."""
+        if self._registry is None:
+            library = import_library()
+            self._registry = (
+                library.REGISTRY
+                if self._is_process_wide
+                else library.CollectorRegistry()
+            )
+            deferred, self._deferred = self._deferred, []
+            for metric in deferred:
+                metric.materialize()
+            collectors, self._collectors = self._collectors, []
+            for collector in collectors:
+                self._registry.register(collector)
+        return self._registry
+
+    def register(self, collector: Any) -> None:
+        """Adds an object whose `collect` returns metrics of the library."""
+        if self._registry is None:
+            self._collectors.append(collector)
+        else:
+            self._registry.register(collector)
+
+    def _defer(self, create: Callable[[Any], Any]) -> Any:
+        """Returns a metric that is created when the library is loaded."""
+        metric = _deferred.DeferredMetric(
+            lambda: create(import_library()), self._on_recorded
+        )
+        if self._registry is None:
+            self._deferred.append(metric)
+        else:
+            metric.materialize()
+        return metric
+
+    def _on_recorded(self) -> None:
+        self._recorded_calls += 1
+        if self._recorded_calls >= _deferred.MAX_RECORDED_CALLS:
+            self.load()
 
     def counter(
         self,
@@ -45,15 +94,17 @@
         name: str,
         documentation: str,
         labels: Sequence[str] = (),
-    ) -> prometheus_client.Counter:
+    ) -> _deferred.Counter:
         """Returns a new counter; its name gets the suffix `_total`."""
-        return prometheus_client.Counter(
-            name,
-            documentation,
-            labels,
-            namespace=_PREFIX,
-            subsystem=component,
-            registry=self.registry,
+        return self._defer(
+            lambda library: library.Counter(
+                name,
+                documentation,
+                labels,
+                namespace=_PREFIX,
+                subsystem=component,
+                registry=self._registry,
+            )
         )
 
     def gauge(
@@ -62,7 +113,7 @@
         name: str,
         documentation: str,
         read: Callable[[], float] | None = None,
-    ) -> prometheus_client.Gauge:
+    ) -> _deferred.Gauge:
         """Returns a new gauge.
 
         Args:
@@ -72,16 +123,20 @@
             read: Called for the value when the metrics are rendered; None for
                 a gauge that its component sets.
         """
-        gauge = prometheus_client.Gauge(
-            name,
-            documentation,
-            namespace=_PREFIX,
-            subsystem=component,
-            registry=self.registry,
-        )
-        if read is not None:
-            gauge.set_function(read)
-        return gauge
+
+        def create(library: Any) -> Any:
+            gauge = library.Gauge(
+                name,
+                documentation,
+                namespace=_PREFIX,
+                subsystem=component,
+                registry=self._registry,
+            )
+            if read is not None:
+                gauge.set_function(read)
+            return gauge
+
+        return self._defer(create)
 
     def histogram(
         self,
@@ -90,24 +145,37 @@
         documentation: str,
         labels: Sequence[str] = (),
         buckets: Sequence[float] = LATENCY_BUCKETS_S,
-    ) -> prometheus_client.Histogram:
+    ) -> _deferred.Histogram:
         """Returns a new histogram, of durations in s by default."""
-        return prometheus_client.Histogram(
-            name,
-            documentation,
-            labels,
-            namespace=_PREFIX,
-            subsystem=component,
-            registry=self.registry,
-            buckets=buckets,
+        return self._defer(
+            lambda library: library.Histogram(
+                name,
+                documentation,
+                labels,
+                namespace=_PREFIX,
+                subsystem=component,
+                registry=self._registry,
+                buckets=buckets,
+            )
         )
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self.registry)
+        return import_library().generate_latest(self.load())
+
+
+@functools.cache
+def import_library() -> Any:
+    """Imports the library, and returns it; may be called in a thread."""
+    import prometheus_client
+
+    # The creation time of each series would double the number of lines, and it
+    # is not used.
+    prometheus_client.disable_created_metrics()
+    return prometheus_client
 
 
 @functools.cache
 def process_metrics() -> MetricsRegistry:
     """Returns the registry of the metrics that a node serves at `/metrics`."""
-    return MetricsRegistry(prometheus_client.REGISTRY)
+    return MetricsRegistry(is_process_wide=True)
--- a/src/geraniumstair/wire/_traffic.py
+++ b/src/geraniumstair/wire/_traffic.py
@@ -1,14 +1,15 @@
 """Byte counters of the peer streams, by direction and traffic class."""
 
 from collections.abc import Iterator
-
-import prometheus_client
-from prometheus_client import metrics_core
-from prometheus_client import registry
+from typing import TYPE_CHECKING
 
 from geraniumstair import _struct
+from geraniumstair import observe
 from geraniumstair._generated import messages
 
+if TYPE_CHECKING:
+    from prometheus_client import metrics_core
+
 _SEARCH_TYPES: tuple[type[_struct.Message], ...] = (
     messages.ShardRequest,
     messages.ShardReply,
@@ -46,7 +47,7 @@
     return isinstance(message, _SEARCH_TYPES)
 
 
-class TrafficCounters(registry.Collector):
+class TrafficCounters:
     """Counters of message bytes, including frame headers.
 
     The counters are updated for each message of a search. They are therefore
@@ -66,8 +67,11 @@
         """Adds a received message."""
         self._received[is_search(message)] += size_bytes
 
-    def collect(self) -> Iterator[metrics_core.Metric]:
+    def collect(self) -> "Iterator[metrics_core.Metric]":
         """Returns the samples for Prometheus."""
+        # The library is imported when the metrics are read; see `observe`.
+        from prometheus_client import metrics_core
+
         family = metrics_core.CounterMetricFamily(
             "geraniumstair_peer_bytes",
             "Bytes of messages on the peer streams.",
@@ -83,4 +87,4 @@
 
 
 TRAFFIC = TrafficCounters()
-prometheus_client.REGISTRY.register(TRAFFIC)
+observe.process_metrics().register(TRAFFIC)
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -7,6 +7,7 @@
 import unittest
 
 from geraniumstair import observe
+from geraniumstair.observe import _deferred
 
 
 def _record(
@@ -122,6 +123,39 @@
         state["queued"] = 4
         self.assertIn(b"geraniumstair_x_queued 4.0", metrics.render())
 
+    def test_what_is_recorded_before_the_library_is_loaded_counts(self) -> None:
+        # The library is imported when the metrics are first read.
+        metrics = observe.MetricsRegistry()
+        calls = metrics.counter("x", "calls", "Calls.", ["kind"])
+        ended = calls.labels("a")
+        waits_s = metrics.histogram("x", "wait_seconds", "Wait.", ["kind"])
+        depth = metrics.gauge("x", "depth", "Depth.")
+        for _ in range(2):
+            ended.inc()
+            calls.labels("a").inc(2)
+            waits_s.labels("b").observe(0.5)
+            depth.inc()
+            depth.dec(0.5)
+            # From the second round on, the library counts.
+            metrics.load()
+        text = metrics.render().decode()
+        for line in (
+            'geraniumstair_x_calls_total{kind="a"} 6.0',
+            'geraniumstair_x_wait_seconds_count{kind="b"} 2.0',
+            'geraniumstair_x_wait_seconds_sum{kind="b"} 1.0',
+            "geraniumstair_x_depth 1.0",
+        ):
+            self.assertIn(line, text)
+
+    def test_recorded_calls_take_a_limited_amount_of_memory(self) -> None:
+        metrics = observe.MetricsRegistry()
+        counter = metrics.counter("x", "calls", "Calls.")
+        for _ in range(_deferred.MAX_RECORDED_CALLS + 5):
+            counter.inc()
+        self.assertEqual(counter._recorded, [])
+        count = _deferred.MAX_RECORDED_CALLS + 5
+        self.assertIn(b"x_calls_total %d.0" % count, metrics.render())
+
     def test_creation_times_are_not_rendered(self) -> None:
         metrics = observe.MetricsRegistry()
         metrics.counter("x", "calls", "Calls.").inc()
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -151,12 +151,16 @@
             "anyio",
             "cappa",
             "certifi",
+            "email",
             "geraniumstair._generated.settings",
             "geraniumstair.store._etcd",
             "geraniumstair.store._httpcore_transport",
             "geraniumstair.store._vm_list",
+            "http.server",
             "httpcore",
+            "prometheus_client",
             "pydantic",
+            "urllib.request",
             "yaml",
         ]
     )
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -321,11 +321,12 @@
                     )
                 )
                 port = listeners[0].socket.getsockname()[1]
+                exchanges = transport(8)
                 connection = store.StoreConnection(
                     [f"http://127.0.0.1:{port}"],
                     timeout_ms=300,
                     max_concurrency=8,
-                    transport=transport(8),
+                    transport=exchanges,
                     metrics=store.StoreMetrics(),
                 )
 
@@ -341,6 +342,7 @@
                 self.assertEqual(len(connections), 3)
                 silent.update(connections)
                 self.assertEqual([await call(), await call()], [False, True])
+                await exchanges.close_idle()
                 nursery.cancel_scope.cancel()
 
         trio.run(test)
--- a/tests/test_store_transport.py
+++ b/tests/test_store_transport.py
@@ -75,6 +75,7 @@
                         trio.serve_tcp, service.serve, 0, host="127.0.0.1"
                     )
                 )
+                exchanges = transport(8)
                 connection = store.StoreConnection(
                     [
                         "http://127.0.0.1:"
@@ -82,7 +83,7 @@
                     ],
                     timeout_ms=_TIMEOUT_MS,
                     max_concurrency=8,
-                    transport=transport(8),
+                    transport=exchanges,
                     metrics=store.StoreMetrics(),
                 )
                 with trio.fail_after(10):
@@ -92,6 +93,7 @@
                             connection.send_request, "get", repeatable=True
                         ),
                     )
+                await exchanges.close_idle()
                 nursery.cancel_scope.cancel()
 
         for transport in (store.PlainTransport, store.HttpcoreTransport):
