Give endpoints that start or return their calls at a pace

Cause: a node assumes 30 ms for an endpoint that it has never called. If the siblings take longer, all nodes send their calls to a new endpoint at once; if they take less, no node ever calls it.

forward/_pace decides how large a share of an even part of the calls the endpoint gets; _pacing applies it to the choice, logs its start and end, and counts the calls that siblings got instead. The share begins at one slot's part, doubles each second, rises with answers in time and falls with rejections, failures and much slower answers. It needs no messages: if each node keeps to the share of its own calls, all together do.

Considered: calls in flight for each node (bounds nothing with 61 nodes), a pace shared by all nodes (messages, for 2 to 3 s), only answers or only time as the signal.

--- a/src/geraniumstair/forward/_choice.py
+++ b/src/geraniumstair/forward/_choice.py
@@ -9,6 +9,7 @@
 from geraniumstair import canary
 from geraniumstair import discovery
 from geraniumstair.forward import _limits
+from geraniumstair.forward import _pacing
 from geraniumstair.forward import _pool_settings
 from geraniumstair.forward import _replica
 
@@ -16,7 +17,7 @@
 FAILURE_COST_MS = 300.0
 # Ranks of endpoints; the lowest comes first.
 NEW_VERSION_RANK = -1
-HEALTHY_RANK = 0
+HEALTHY_RANK = _pacing.HEALTHY_RANK
 STALLED_RANK = 1
 AVOIDED_RANK = 2
 DOWN_RANK = 3
@@ -30,6 +31,7 @@
     Args:
         settings: Identity and location of this node.
         limits: Limits of request rates.
+        pacing: The paces of endpoints that start or return.
         versions: Shares of versions during rollouts.
         rng: Breaks ties.
 
@@ -41,11 +43,13 @@
         self,
         settings: _pool_settings.PoolSettings,
         limits: _limits.EndpointLimits,
+        pacing: _pacing.Pacing,
         versions: canary.VersionTracker,
         rng: random.Random,
     ) -> None:
         self._settings = settings
         self._limits = limits
+        self._pacing = pacing
         self._versions = versions
         self._rng = rng
         self.zones_out: frozenset[str] = frozenset()
@@ -68,14 +72,23 @@
                 down or stalled.
         """
         now_s = trio.current_time()
+        candidates: list[_pacing.Candidate] = []
+        are_settled = True
         best = None
         best_cost = _WORST_COST
         for replica in replicas:
             if replica.entry.endpoint_id in tried:
                 continue
             cost = self._compute_cost(replica, now_s)
-            if cost is not None and cost < best_cost:
-                best, best_cost = replica, cost
+            if cost is not None:
+                candidates.append((cost, replica))
+                are_settled = are_settled and replica.pacing.is_settled
+                if cost < best_cost:
+                    best, best_cost = replica, cost
+        if best is not None and not are_settled:
+            best_cost, best = self._pacing.select(
+                candidates, (best_cost, best), now_s
+            )
         if best is None or (only_healthy and best_cost[0] > HEALTHY_RANK):
             return None
         for limit in self._limits.find_all(best, now_s):
--- a/src/geraniumstair/forward/_endpoints.py
+++ b/src/geraniumstair/forward/_endpoints.py
@@ -21,6 +21,8 @@
 from geraniumstair.forward import _limits
 from geraniumstair.forward import _link
 from geraniumstair.forward import _metrics
+from geraniumstair.forward import _pace
+from geraniumstair.forward import _pacing
 from geraniumstair.forward import _pool_settings
 from geraniumstair.forward import _replica
 from geraniumstair.forward import _sharing
@@ -30,6 +32,9 @@
 _LOG = logging.getLogger(__name__)
 # Instances whose wishes are kept while they are not registered.
 MAX_EARLIER_WISHES = 1000
+# Endpoints of which a node learns in this time after its first one may have
+# served for long.
+LEARNING_S = 5.0
 _InstanceKey = tuple[str, int, str, int]
 
 # Called when an endpoint states another limit than before to this node, with
@@ -73,10 +78,15 @@
         # Also contains the endpoints that this node does not use.
         self._registered: dict[str, list[_replica.Replica]] = {}
         self._preconnected_services: frozenset[str] = frozenset()
+        self._first_endpoint_s: float | None = None
         self._sharing = _sharing.SharingNodes(settings)
         self._limits = _limits.EndpointLimits(settings, self._sharing, rng)
         self._chooser = _choice.EndpointChooser(
-            settings, self._limits, versions, rng
+            settings,
+            self._limits,
+            _pacing.Pacing(self._sharing, metrics, rng),
+            versions,
+            rng,
         )
         self._availability = _availability.Availability(
             self._chooser, self._limits
@@ -193,8 +203,16 @@
             self._earlier_wishes.pop(entry.instance_key, None),
         )
         self._start_warmup(replica, entry)
+        self._expect_pace(replica)
         return replica
 
+    def _expect_pace(self, replica: _replica.Replica) -> None:
+        now_s = trio.current_time()
+        if self._first_endpoint_s is None:
+            self._first_endpoint_s = now_s
+        if now_s >= self._first_endpoint_s + LEARNING_S:
+            replica.pacing.expect(_pace.Cause.STARTED, now_s)
+
     def _remember_wishes(
         self, instance_key: _InstanceKey, wishes: _statements.Wishes
     ) -> None:
--- a/src/geraniumstair/forward/_health.py
+++ b/src/geraniumstair/forward/_health.py
@@ -57,16 +57,13 @@
             idle_s / LATENCY_HALF_LIFE_S
         )
 
-    def is_stalled(self, now_s: float, oldest_sent_s: float | None) -> bool:
+    def is_stalled(self, now_s: float, oldest_sent_s: float) -> bool:
         """Returns whether running calls show no progress of the endpoint.
 
         Args:
             now_s: Present time.
-            oldest_sent_s: When the oldest running call was sent; None if no
-                call runs.
+            oldest_sent_s: When the oldest running call was sent.
         """
-        if oldest_sent_s is None:
-            return False
         # A reply after that call was sent shows progress.
         since_s = max(oldest_sent_s, self.last_reply_s)
         limit_ms = STALLED_FACTOR * self.latency_ms + STALLED_MARGIN_MS
@@ -106,6 +103,11 @@
         )
         self._avoid_until_s = now_s + avoid_s
 
+    def assume(self, latency_ms: float) -> None:
+        """Forgets the latencies and failed calls so far."""
+        self.latency_ms = latency_ms
+        self.failure_share = 0.0
+
     def end_avoidance(self) -> None:
         """Forgets the failures in a row."""
         self._consecutive_failures = 0
--- a/src/geraniumstair/forward/_metrics.py
+++ b/src/geraniumstair/forward/_metrics.py
@@ -37,6 +37,12 @@
             "Calls to endpoints that state a request rate limit, by cause.",
             ["cause"],
         )
+        self.diverted_calls = registry.counter(
+            "forward",
+            "diverted_calls",
+            "Calls that siblings got because of the pace of an endpoint.",
+            [],
+        )
         self.missing_parts = registry.counter(
             "forward",
             "missing_parts",
--- a/src/geraniumstair/forward/_replica.py
+++ b/src/geraniumstair/forward/_replica.py
@@ -16,6 +16,7 @@
 from geraniumstair.forward import _health
 from geraniumstair.forward import _link
 from geraniumstair.forward import _metrics
+from geraniumstair.forward import _pace
 from geraniumstair.forward import _statements
 
 _LOG = logging.getLogger(__name__)
@@ -64,6 +65,7 @@
             has ended, whatever its registration still says.
         wishes: What the instance stated in its answers.
         rate_statement: The request rate limit that it states.
+        pacing: Its pace after a start or a return.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         self.address_reused = False
         self.wishes = wishes or _statements.Wishes()
         self.rate_statement = _statements.RateStatement()
+        self.pacing = _pace.EndpointPacing()
 
     # ---- state for load balancing ----
 
@@ -133,7 +136,9 @@
 
     def is_stalled(self, now_s: float) -> bool:
         """Returns whether running calls show no progress of the endpoint."""
-        oldest_s = min((call.sent_s for call in self._running), default=None)
+        if not self._running:
+            return False
+        oldest_s = min(call.sent_s for call in self._running)
         return self.health.is_stalled(now_s, oldest_s)
 
     def since_last_call_s(self, now_s: float) -> float:
@@ -193,7 +198,7 @@
         # healthy; the request itself takes long.
         if self.health.last_reply_s <= call.sent_s:
             self.health.record_result(failed=True)
-            self.health.record_failure(now_s)
+            self._record_failure(now_s)
         call.aborted = True
         link.close()
 
@@ -317,7 +322,7 @@
             error,
         )
         now_s = trio.current_time()
-        self.health.record_failure(now_s)
+        self._record_failure(now_s)
         if not self._links and not self._opening_count:
             self._waiting.reject_all(f"cannot connect: {error}")
             if self.health.is_down(now_s) and not self._reconnecting:
@@ -428,6 +433,7 @@
         outcome = reply.outcome
         if outcome in (_call.Outcome.ANSWERED, _call.Outcome.FAILED):
             self.health.record_reply(now_s, (now_s - call.sent_s) * 1000)
+        self.pacing.record(outcome, (now_s - call.sent_s) * 1000, now_s)
         failed = outcome is not _call.Outcome.ANSWERED
         self.health.record_result(failed=failed)
         if outcome is _call.Outcome.ANSWERED:
@@ -436,7 +442,7 @@
             self.address_reused = True
             self._waiting.reject_all("another endpoint has the address")
         elif outcome is not _call.Outcome.REJECTED and not call.done:
-            self.health.record_failure(now_s)
+            self._record_failure(now_s)
 
     def _count_version(
         self, call: _call.Call, reply: _call.Reply, now_s: float
@@ -455,6 +461,10 @@
             self.entry.service, self.entry.version, call.route, answer
         )
 
+    def _record_failure(self, now_s: float) -> None:
+        self.health.record_failure(now_s)
+        self.pacing.record_failure(now_s, is_down=self.health.is_down(now_s))
+
     def dump(self) -> dict[str, Any]:
         """Returns the state for the state dump."""
         now_s = trio.current_time()
@@ -471,4 +481,5 @@
             "leaving": self.wishes.leaving,
             "stalled": self.is_stalled(now_s),
             "rate_limit_per_s": self.rate_limit_per_s,
+            "pace": self.pacing.dump(now_s),
         }
