--- a/src/geraniumstair/listeners/_exchange.py
+++ b/src/geraniumstair/listeners/_exchange.py
@@ -10,13 +10,13 @@
 
 from geraniumstair.listeners import _head
 
-# Larger responses are sent without a copy that joins them with their head.
 # Names in HTTP dates, which do not depend on the locale.
 _DAYS = ("Mon", "Tue", "Wed", "Thu", "Fri", "Sat", "Sun")
 _MONTHS = (
     "Jan", "Feb", "Mar", "Apr", "May", "Jun",
     "Jul", "Aug", "Sep", "Oct", "Nov", "Dec",
 )  # fmt: skip
+# Larger responses are sent without a copy that joins them with their head.
 _MAX_JOINED_BYTES = 16 * 1024
 _STATUSES_WITHOUT_BODY = frozenset([204, 304])
 _NO_CONTENT = 204
