--- a/src/geraniumstair/platform/_decoder.py
+++ b/src/geraniumstair/platform/_decoder.py
@@ -267,11 +267,29 @@
             )
             for s in config.services
         },
-        routing.CallerLimits(
-            max_body_bytes=config.limits.max_body_bytes,
-            max_header_bytes=config.limits.max_header_bytes,
-            header_timeout_s=config.limits.header_timeout_ms / 1000,
-            idle_timeout_s=config.limits.idle_timeout_ms / 1000,
+        _build_caller_limits(config.limits),
+    )
+
+
+def _build_caller_limits(limits: _Limits) -> routing.CallerLimits:
+    """Returns the limits; a value that would end all requests has no effect."""
+    defaults = routing.CallerLimits()
+    header_timeout_s = limits.header_timeout_ms / 1000
+    idle_timeout_s = limits.idle_timeout_ms / 1000
+    return routing.CallerLimits(
+        max_body_bytes=limits.max_body_bytes,
+        max_header_bytes=(
+            limits.max_header_bytes
+            if limits.max_header_bytes > 0
+            else defaults.max_header_bytes
+        ),
+        header_timeout_s=(
+            header_timeout_s
+            if header_timeout_s > 0
+            else defaults.header_timeout_s
+        ),
+        idle_timeout_s=(
+            idle_timeout_s if idle_timeout_s > 0 else defaults.idle_timeout_s
         ),
     )
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,6 +12,7 @@
 from geraniumstair import configuration
 from geraniumstair import dispatch  # noqa: F401 - registers its metrics
 from geraniumstair import forward
+from geraniumstair import listeners
 from geraniumstair import observe
 from geraniumstair import search
 from geraniumstair import store
@@ -145,6 +146,7 @@
         test_node_parts.register_fake_gauges(metrics)
         search.SearchMetrics(metrics)
         forward.ForwardMetrics(metrics)
+        listeners.ListenerMetrics(metrics)
         store.EtcdStore(["http://127.0.0.1:1"], registry=metrics)
         names = set()
         for registry in (metrics, observe.process_metrics()):
--- a/tests/test_listeners_protocol.py
+++ b/tests/test_listeners_protocol.py
@@ -1,6 +1,7 @@
 """Tests of the protocol that callers use with a node."""
 
 import socket
+import time
 import unittest
 
 import trio
@@ -214,6 +215,25 @@
 
         builders_listener.run(test)
 
+    def test_a_node_that_was_frozen_reads_what_has_arrived(self) -> None:
+        async def test(fixture) -> None:
+            async with await fixture.connect() as idle:
+                async with await fixture.connect() as partial:
+                    sent = _request(_CLOSE)
+                    await partial.send_all(sent[:9])
+                    await trio.sleep(0.05)
+                    for stream, data in ((idle, sent), (partial, sent[9:])):
+                        await stream.socket.send(data)
+                    # Stops the listener, which runs in this thread.
+                    time.sleep(2 * builders_listener.LIMITS.idle_timeout_s)
+                    for stream in (idle, partial):
+                        received = await builders_listener.read_response(
+                            stream, b"!"
+                        )
+                        self.assertIn(b" 200 OK", received)
+
+        builders_listener.run(test)
+
     def test_a_client_that_leaves_ends_its_request(self) -> None:
         async def test(fixture) -> None:
             async with await fixture.connect() as stream:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -68,6 +68,20 @@
 class PlatformDecoderTest(unittest.TestCase):
     """Guards against misread entries, and invalid ones that affect others."""
 
+    def test_limits_of_callers_are_translated(self) -> None:
+        # A time of zero would close all connections.
+        limits = {
+            "MaxHeaderBytes": 0,
+            "HeaderTimeoutMs": 2000,
+            "IdleTimeoutMs": 0,
+        }
+        value = json.dumps(_CONFIG | {"Limits": limits}).encode()
+        change = _decode("op/config", value)
+        assert isinstance(change, gateway.RoutesChanged)
+        self.assertEqual(change.table.limits.max_header_bytes, 16_384)
+        self.assertEqual(change.table.limits.header_timeout_s, 2.0)
+        self.assertEqual(change.table.limits.idle_timeout_s, 15.0)
+
     def test_the_configuration_becomes_a_route_table(self) -> None:
         change = _decode("op/config", json.dumps(_CONFIG).encode())
         assert isinstance(change, gateway.RoutesChanged)
@@ -429,6 +443,10 @@
         self.assertEqual(settings.callers, peers.PeerAddress("10.0.0.1", 1))
         self.assertEqual(settings.metrics.port, 7395)
         self.assertEqual(settings.budget.extra_repeats, 54.0)
+        limits = {"MemoryMb": 300, "MaxFds": 4100}
+        settings = self._load(Limits=limits)
+        self.assertEqual(settings.memory_bytes, 300 * 1024 * 1024)
+        self.assertEqual(settings.max_descriptors, 4100)
 
     def test_invalid_settings_are_rejected(self) -> None:
         for changes in (
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -24,6 +24,11 @@
 runpy.run_module("geraniumstair.platform", run_name="__main__")
 """
 _INVALID_SETTINGS_EXIT_STATUS = 2
+_PRINT_MODULES = """
+import sys
+import geraniumstair.platform._process
+print(*sys.modules)
+"""
 
 
 class StartTest(unittest.TestCase):
@@ -43,6 +48,20 @@
         self.assertEqual(process.returncode, _INVALID_SETTINGS_EXIT_STATUS)
         self.assertIn("GERANIUMSTAIR_BOOT is not set", process.stdout)
 
+    def test_hypercorn_is_not_imported(self) -> None:
+        # It was a seventh of the time of the imports.
+        output = subprocess.run(
+            [sys.executable, "-c", _PRINT_MODULES],
+            env={},
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=True,
+        ).stdout.split()
+        self.assertIn("geraniumstair.listeners", output)
+        for name in ("hypercorn", "wsproto"):
+            self.assertNotIn(name, output)
+
 
 if __name__ == "__main__":
     unittest.main()
