Report usage on time while the store loses answers

A renewal without an answer is given up after 0.3 of the lease. The mirror shows the holder its own record, which ends the transaction's call. A refused record is compared with the stored one before the holder's key is read. Windows that this process has fixed but not sent are logged as not recorded instead of as a former holder's.

--- a/src/geraniumstair/gateway/_usage.py
+++ b/src/geraniumstair/gateway/_usage.py
@@ -280,7 +280,7 @@
             elif item.key == usage.RECORD_KEY and item.value is not None:
                 report = usage.decode_report(item.value)
                 if report is not None:
-                    self._queue.observe(report)
+                    self._reporter.observe_record(report, item.revision)
 
     def _apply_holder(self, item: mirror.MirrorItem) -> None:
         key = None
--- a/src/geraniumstair/usage/_holder.py
+++ b/src/geraniumstair/usage/_holder.py
@@ -17,6 +17,10 @@
 
 _LOG = logging.getLogger(__name__)
 HOLDER_KEY = "geraniumstair/usage/holder"
+# Share of the lease after which a renewal without an answer is given up. If an
+# answer is lost, the store's timeout, half of the lease, leaves time for one
+# renewal only.
+RENEWAL_TIMEOUT_SHARE = 0.3
 # Interval of the decisions, which cost nothing while nothing is due.
 CHECK_INTERVAL_S = 0.25
 
@@ -147,7 +151,11 @@
         sent_s = self._clock()
         lease_id = self._election.lease_id
         self._election.note_renewal()
-        outcome = await self._store.keep_alive(lease_id)
+        outcome: result.Result[bool, store.StoreFailure] = result.Err(
+            store.StoreFailure(store.Effect.UNKNOWN, "no answer in time")
+        )
+        with trio.move_on_after(RENEWAL_TIMEOUT_SHARE * self._ttl_s):
+            outcome = await self._store.keep_alive(lease_id)
         if self._election.lease_id != lease_id:
             return
         if isinstance(outcome, result.Err):
--- a/src/geraniumstair/usage/_report.py
+++ b/src/geraniumstair/usage/_report.py
@@ -50,7 +50,7 @@
     """Why the API has not confirmed the report of a window."""
 
     NOT_RECORDED = "not_recorded"
-    """No holder recorded it in time, so it was not sent."""
+    """It was not recorded in time, so it was not sent."""
     NOT_CONFIRMED = "not_confirmed"
     """The API confirmed no attempt in time; one may have arrived."""
     NOT_REPEATED = "not_repeated"
--- a/src/geraniumstair/usage/_reporter.py
+++ b/src/geraniumstair/usage/_reporter.py
@@ -108,14 +108,17 @@
         self._started_s = clock()
         self._due_s = -math.inf
         self._api_retry_s = RETRY_S
-        # Term for which the record was read, its last revision and its window.
+        # Term for which the record was read, its last revision and contents.
         self._token = 0
         self._record_revision = 0
-        self._stored_window = -1
+        self._stored: _report.Report | None = None
         # The report that is being recorded; its counts do not change any more.
         self._pending: _report.Report | None = None
         # Newest window of which this process has called the API.
         self._tried_window = -1
+        # Newest window whose counts this process has fixed.
+        self._fixed_window = -1
+        self._commit_scope = trio.CancelScope()
 
     async def run(self) -> None:
         """Records and sends reports until cancelled."""
@@ -150,6 +153,7 @@
                 self._give_up(window, _report.Missing.UNKNOWN, {})
             return True
         self._pending = _report.Report(window, counts)
+        self._fixed_window = window
         return True
 
     def _ran_since(self, time_s: float) -> bool:
@@ -164,6 +168,8 @@
             reason = _report.Missing.NOT_REPEATED
             if unsent.window == self._tried_window:
                 reason = _report.Missing.NOT_CONFIRMED
+            elif unsent.window == self._fixed_window:
+                reason = _report.Missing.NOT_RECORDED
             self._give_up(unsent.window, reason, unsent.counts)
         for window in self._queue.find_expired(now_s):
             self._give_up(
@@ -193,7 +199,8 @@
         self._token = token
         self._pending = None
         newest = self._queue.newest
-        if newest is not None and newest.window > self._stored_window:
+        stored_window = self._stored.window if self._stored is not None else -1
+        if newest is not None and newest.window > stored_window:
             # A restore of the store has lost the record.
             self._pending = newest
         return True
@@ -206,11 +213,26 @@
         item = found.ok_value
         stored = _report.decode_report(item.value) if item is not None else None
         self._record_revision = item.mod_revision if item is not None else 0
-        self._stored_window = stored.window if stored is not None else -1
+        self._stored = stored
         if stored is not None:
             self._queue.observe(stored)
         return True
 
+    def observe_record(self, report: _report.Report, revision: int) -> None:
+        """Applies the record as the mirror has it.
+
+        Args:
+            report: The recorded report.
+            revision: Ordered revision of the record.
+        """
+        self._queue.observe(report)
+        if report == self._pending and revision > self._record_revision:
+            # The answer to the transaction may have been lost.
+            self._record_revision = revision
+            self._pending = None
+            self._due_s = -math.inf
+            self._commit_scope.cancel()
+
     async def _record(self, report: _report.Report, token: int) -> bool:
         """Records a report; returns True if it is recorded."""
         compares = [
@@ -221,9 +243,13 @@
             )
         ]
         put = store.Put(RECORD_KEY, _report.encode_report(report))
-        outcome = await self._store.commit(
-            store.Transaction(compares=compares, puts=[put])
-        )
+        with trio.CancelScope() as self._commit_scope:
+            outcome = await self._store.commit(
+                store.Transaction(compares=compares, puts=[put])
+            )
+        if self._pending is None:
+            # The mirror has shown the record before the store answered.
+            return True
         if isinstance(outcome, result.Err):
             # Whether it was executed or not, the same counts are tried again.
             _LOG.info(
@@ -242,6 +268,13 @@
 
     async def _resolve(self, token: int) -> bool:
         """Finds out why a record was refused, and takes over what is stored."""
+        if not await self._read_record():
+            return False
+        pending = self._pending
+        if pending == self._stored:
+            # An earlier transaction has succeeded after all.
+            self._pending = None
+            return True
         found = await self._store.get(_holder.HOLDER_KEY)
         if isinstance(found, result.Err):
             self._postpone(RETRY_S)
@@ -251,11 +284,12 @@
             if self._election.token == token:
                 self._holder.lose("the store has another holder")
             return False
-        if not await self._read_record():
-            return False
-        pending = self._pending
-        if pending is not None and self._stored_window >= pending.window:
-            # An earlier transaction has succeeded after all, or others won.
+        if (
+            pending is not None
+            and self._stored is not None
+            and self._stored.window >= pending.window
+        ):
+            # Other counts have won.
             self._pending = None
         self._postpone(RETRY_S)
         return True
--- a/tests/builders_usage.py
+++ b/tests/builders_usage.py
@@ -204,6 +204,7 @@
         commit_fault: Returns what happens to a transaction: `""`, `lost` (it is
             executed and its result is unknown) or a number of seconds after
             which it is executed, with unknown result.
+        loses_renewal: Returns whether the answer to a renewal is lost.
         thawed: Not set while the node is frozen.
     """
 
@@ -214,6 +215,7 @@
         self.commit_fault: Callable[[store.Transaction], str | float] = (
             lambda transaction: ""
         )
+        self.loses_renewal: Callable[[], bool] = lambda: False
         self.thawed = trio.Event()
         self.thawed.set()
 
@@ -244,7 +246,11 @@
             await trio.sleep(STORE_TIMEOUT_S)
             return _fail(store.Effect.UNKNOWN)
         outcome = await self._call(lambda: self._store.execute(transaction))
-        return _fail(store.Effect.UNKNOWN) if fault else outcome
+        return await self._lose_answer() if fault else outcome
+
+    async def _lose_answer(self) -> Any:
+        await trio.sleep(STORE_TIMEOUT_S)
+        return _fail(store.Effect.UNKNOWN)
 
     async def _execute_late(
         self, transaction: store.Transaction, delay_s: float
@@ -258,7 +264,8 @@
 
     async def keep_alive(self, lease_id: int) -> Any:
         """Renews a lease."""
-        return await self._call(lambda: self._store.renew(lease_id))
+        outcome = await self._call(lambda: self._store.renew(lease_id))
+        return await self._lose_answer() if self.loses_renewal() else outcome
 
     async def revoke_lease(self, lease_id: int) -> Any:
         """Ends a lease."""
--- a/tests/test_usage_site.py
+++ b/tests/test_usage_site.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import itertools
 import json
 import unittest
 
@@ -352,6 +353,25 @@
         self._check_counts(site, 0, 4)
         self.assertEqual(len({call.token for call in site.api.calls}), 1)
 
+    def test_a_store_that_loses_answers_makes_no_report_late(self) -> None:
+        # The mirror shows the record, and every second renewal is confirmed.
+        async def test(site: builders.UsageSite) -> None:
+            site.nursery.start_soon(site.run_load, 50)
+            await _wait_for(lambda: len(site.api.calls) == 2)
+            access = site.find_holder().access
+            access.commit_fault = lambda transaction: "lost"
+            lost = itertools.cycle([True, False])
+            access.loses_renewal = lambda: next(lost)
+            await trio.sleep(30)
+
+        site = _run(test)
+        self._check_promises(site)
+        self._check_counts(site, 0, 6)
+        self.assertEqual(len({call.token for call in site.api.calls}), 1)
+        for call in site.api.calls:
+            end_s = builders.windows().end_s(call.window)
+            self.assertLess(builders.START_S + call.time_s - end_s, 5.0)
+
     def test_a_record_that_is_written_late_changes_no_report(self) -> None:
         # The store executes the transaction 4 s after the call timed out.
         async def test(site: builders.UsageSite) -> None:
