Divide the tests of usage reports by failure

No test was changed otherwise.

Tests: tests.test_usage_site, test_usage_store, test_forward_usage, test_usage, test_platform_usage and test_forward_grants (93 tests) pass.

--- a/tests/builders_gateway.py
+++ b/tests/builders_gateway.py
@@ -348,7 +348,6 @@
         site: The endpoints, if several nodes share them; None for new ones.
         network: Network over which nodes give up requests to each other and
             report requests that end endpoints; None without one.
-        usage: Counts requests that endpoints ran; None without one.
     """
 
     def __init__(
@@ -363,7 +362,6 @@
         node_id: str = "n1",
         site: "FakeSite | None" = None,
         network: "FakeNetwork | None" = None,
-        usage: forward.UsageRecorder | None = None,
     ) -> None:
         self.site = site or FakeSite()
         self.registry = discovery.EndpointRegistry(trio.current_time)
@@ -401,7 +399,6 @@
             self.metrics,
             grants=grants,
             suspects=forward.SuspectRequests(trio.current_time, network),
-            usage=usage,
         )
         nursery.start_soon(self.forwarder.run)
 
--- a/tests/builders_usage.py
+++ b/tests/builders_usage.py
@@ -1,32 +1,29 @@
-"""A site of usage reports on a virtual clock: store, API, network and nodes."""
+"""A site of usage reports on a virtual clock: API, network and nodes."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
-import itertools
 import json
 from typing import Any
+import unittest
 
-import result
 import trio
 
 from geraniumstair import forward
 from geraniumstair import gateway
 from geraniumstair import mirror
-from geraniumstair import store
 from geraniumstair import usage
+from tests import builders_gateway
+from tests import builders_usage_store
 
 # Start of the virtual clock in s since 1970: the start of a window.
 START_S = 1_767_225_600.0
 WINDOW_S = 5.0
+FIRST_WINDOW = round(START_S / WINDOW_S)
 DELAY_S = 10.0
 LEASE_S = 3.0
-# Time after which a change of the store reaches the mirrors.
-SPREAD_S = 0.1
-STORE_DELAY_S = 0.01
-STORE_TIMEOUT_S = 1.5
-_EXPIRY_CHECK_S = 0.05
 
 
 def windows() -> usage.Windows:
@@ -39,243 +36,6 @@
     return START_S + trio.current_time()
 
 
-@dataclasses.dataclass(frozen=True)
-class Item:
-    """A key of the store with its plain revisions."""
-
-    value: bytes
-    created: int
-    modified: int
-    lease_id: int
-
-
-class UsageStore:
-    """A store with leases and generations, whose changes reach the mirrors.
-
-    Attributes:
-        items: The keys.
-        leases: End of each lease.
-        down: No call is executed.
-        calls: Number of calls of all nodes.
-    """
-
-    def __init__(self, nursery: trio.Nursery) -> None:
-        self._nursery = nursery
-        self._generation = 0
-        self._revision = 100
-        self._lease_ids = itertools.count(1)
-        self._ttl_s: dict[int, float] = {}
-        self._followers: list[Node] = []
-        self.items: dict[str, Item] = {}
-        self.leases: dict[int, float] = {}
-        self.down = False
-        self.calls = 0
-        nursery.start_soon(self._expire_loop)
-
-    def follow(self, node: "Node") -> None:
-        """Sends all changes to the mirror of a node."""
-        self._followers.append(node)
-        node.mirror.replace(self._list_items(), self.position)
-
-    def unfollow(self, node: "Node") -> None:
-        """Stops sending changes to the mirror of a node."""
-        self._followers.remove(node)
-
-    @property
-    def position(self) -> int:
-        """The ordered revision of the store."""
-        return store.order_revision(self._generation, self._revision)
-
-    def _list_items(self) -> list[mirror.MirrorItem]:
-        return [
-            mirror.MirrorItem(key, item.value, self._order(item.modified))
-            for key, item in self.items.items()
-        ]
-
-    def _order(self, revision: int) -> int:
-        return store.order_revision(self._generation, revision)
-
-    async def _expire_loop(self) -> None:
-        while True:
-            await trio.sleep(_EXPIRY_CHECK_S)
-            now_s = trio.current_time()
-            for lease_id in [i for i, s in self.leases.items() if s <= now_s]:
-                self.end_lease(lease_id)
-
-    def end_lease(self, lease_id: int) -> None:
-        """Ends a lease and deletes its keys."""
-        self.leases.pop(lease_id, None)
-        keys = [k for k, i in self.items.items() if i.lease_id == lease_id]
-        if keys:
-            self.change({}, keys)
-
-    def grant(self, ttl_s: float) -> int:
-        """Creates a lease."""
-        lease_id = next(self._lease_ids)
-        self._ttl_s[lease_id] = ttl_s
-        self.leases[lease_id] = trio.current_time() + ttl_s
-        return lease_id
-
-    def renew(self, lease_id: int) -> bool:
-        """Renews a lease."""
-        if lease_id not in self.leases:
-            return False
-        self.leases[lease_id] = trio.current_time() + self._ttl_s[lease_id]
-        return True
-
-    def change(
-        self, puts: Mapping[str, tuple[bytes, int]], deletes: Sequence[str]
-    ) -> None:
-        """Writes and deletes keys at one revision."""
-        self._revision += 1
-        changed = []
-        for key, (value, lease_id) in puts.items():
-            known = self.items.get(key)
-            created = known.created if known else self._revision
-            self.items[key] = Item(value, created, self._revision, lease_id)
-            changed.append(mirror.MirrorItem(key, value, self.position))
-        for key in deletes:
-            if self.items.pop(key, None) is not None:
-                changed.append(mirror.MirrorItem(key, None, self.position))
-        self._nursery.start_soon(self._spread, changed, self.position)
-
-    async def _spread(
-        self, changed: list[mirror.MirrorItem], position: int
-    ) -> None:
-        await trio.sleep(SPREAD_S)
-        for node in self._followers:
-            node.mirror.apply(changed, position)
-
-    def execute(self, transaction: store.Transaction) -> store.CommitOutcome:
-        """Executes a transaction if its compares hold."""
-        for compare in transaction.compares:
-            generation, revision = store.split_revision(compare.expected)
-            item = self.items.get(compare.key)
-            found = item.modified if item else 0
-            if found != revision or (
-                revision and generation != self._generation
-            ):
-                return store.CommitOutcome(False, 0)
-        if any(p.lease_id and p.lease_id not in self.leases
-               for p in transaction.puts):  # fmt: skip
-            return store.CommitOutcome(False, 0)
-        self.change(
-            {put.key: (put.value, put.lease_id) for put in transaction.puts},
-            [delete.key for delete in transaction.deletes],
-        )
-        return store.CommitOutcome(True, self.position)
-
-    def read(self, key: str) -> store.KeyValue | None:
-        """Reads a key."""
-        item = self.items.get(key)
-        if item is None:
-            return None
-        return store.KeyValue(
-            key,
-            item.value,
-            self._order(item.created),
-            self._order(item.modified),
-            item.lease_id,
-        )
-
-    def copy(self) -> Any:
-        """Returns a copy from which the store can be restored."""
-        return dict(self.items), dict(self.leases), self._revision
-
-    def restore(self, copy: Any) -> None:
-        """Restores the store from a copy."""
-        self._generation += 1
-        items, leases, self._revision = copy
-        self.items, self.leases = dict(items), dict(leases)
-        for node in self._followers:
-            node.mirror.replace(self._list_items(), self.position)
-
-    def find_record(self) -> Any:
-        """Returns the recorded report as decoded JSON; None without one."""
-        item = self.items.get(usage.RECORD_KEY)
-        return json.loads(item.value) if item is not None else None
-
-
-class StoreAccess:
-    """One node's calls to the store.
-
-    Attributes:
-        cut: Calls are not executed and time out.
-        commit_fault: Returns what happens to a transaction: `""`, `lost` (it is
-            executed and its result is unknown) or a number of seconds after
-            which it is executed, with unknown result.
-        loses_renewal: Returns whether the answer to a renewal is lost.
-        thawed: Not set while the node is frozen.
-    """
-
-    def __init__(self, usage_store: UsageStore, nursery: trio.Nursery) -> None:
-        self._store = usage_store
-        self._nursery = nursery
-        self.cut = False
-        self.commit_fault: Callable[[store.Transaction], str | float] = (
-            lambda transaction: ""
-        )
-        self.loses_renewal: Callable[[], bool] = lambda: False
-        self.thawed = trio.Event()
-        self.thawed.set()
-
-    async def _call(self, execute: Callable[[], Any]) -> Any:
-        self._store.calls += 1
-        await self.thawed.wait()
-        if self._store.down:
-            await trio.sleep(STORE_DELAY_S)
-            return _fail(store.Effect.NONE)
-        if self.cut:
-            await trio.sleep(STORE_TIMEOUT_S)
-            return _fail(store.Effect.UNKNOWN)
-        await trio.sleep(STORE_DELAY_S / 2)
-        outcome = execute()
-        await trio.sleep(STORE_DELAY_S / 2)
-        await self.thawed.wait()
-        return result.Ok(outcome)
-
-    async def get(self, key: str) -> Any:
-        """Reads a key."""
-        return await self._call(lambda: self._store.read(key))
-
-    async def commit(self, transaction: store.Transaction) -> Any:
-        """Executes a transaction."""
-        fault = self.commit_fault(transaction)
-        if isinstance(fault, float):
-            self._nursery.start_soon(self._execute_late, transaction, fault)
-            await trio.sleep(STORE_TIMEOUT_S)
-            return _fail(store.Effect.UNKNOWN)
-        outcome = await self._call(lambda: self._store.execute(transaction))
-        return await self._lose_answer() if fault else outcome
-
-    async def _lose_answer(self) -> Any:
-        await trio.sleep(STORE_TIMEOUT_S)
-        return _fail(store.Effect.UNKNOWN)
-
-    async def _execute_late(
-        self, transaction: store.Transaction, delay_s: float
-    ) -> None:
-        await trio.sleep(delay_s)
-        self._store.execute(transaction)
-
-    async def grant_lease(self, ttl_s: int) -> Any:
-        """Creates a lease."""
-        return await self._call(lambda: self._store.grant(ttl_s))
-
-    async def keep_alive(self, lease_id: int) -> Any:
-        """Renews a lease."""
-        outcome = await self._call(lambda: self._store.renew(lease_id))
-        return await self._lose_answer() if self.loses_renewal() else outcome
-
-    async def revoke_lease(self, lease_id: int) -> Any:
-        """Ends a lease."""
-        return await self._call(lambda: self._store.end_lease(lease_id))
-
-
-def _fail(effect: store.Effect) -> Any:
-    return result.Err(store.StoreFailure(effect, "failed"))
-
-
 @dataclasses.dataclass(frozen=True)
 class ApiCall:
     """A call that the API received, at a true time on the virtual clock."""
@@ -418,7 +178,7 @@
         self.stopping = False
         self.mirror = mirror.Mirror()
         self.network = Network(site, node_id)
-        self.access = StoreAccess(site.store, site.nursery)
+        self.access = builders_usage_store.StoreAccess(site.store, site.nursery)
         self.api = site.api.access(node_id, self.access.thawed)
         self.reports = gateway.UsageReports(
             node_id,
@@ -454,7 +214,7 @@
         self, nursery: trio.Nursery, clock_errors_s: Sequence[float]
     ) -> None:
         self.nursery = nursery
-        self.store = UsageStore(nursery)
+        self.store = builders_usage_store.UsageStore(nursery)
         self.api = ReportApi()
         self.has_accounts = True
         # Nodes that get no requests. A killed node loses what it has not sent.
@@ -472,7 +232,7 @@
         node = self.nodes[node_id] = Node(self, node_id, error_s)
         for other in self.nodes.values():
             self._set_nodes(other)
-        self.store.follow(node)
+        self.store.follow(node.mirror)
         self.nursery.start_soon(node.run)
         return node
 
@@ -484,7 +244,7 @@
     def kill(self, node_id: str) -> None:
         """Kills the process of a node."""
         node = self.nodes.pop(node_id)
-        self.store.unfollow(node)
+        self.store.unfollow(node.mirror)
         node.scope.cancel()
 
     def find_holder(self) -> Node:
@@ -539,3 +299,54 @@
         last_s[call.node_id] = call.time_s
         previous = call
     return found
+
+
+def run_site(
+    test: Callable[[UsageSite], Awaitable[None]],
+    clock_errors_s: tuple[float, ...] = (0.0, 0.0, 0.0),
+) -> UsageSite:
+    """Runs a test on a site; returns the site."""
+    sites = []
+
+    async def run(nursery: trio.Nursery) -> None:
+        sites.append(UsageSite(nursery, clock_errors_s))
+        await test(sites[0])
+
+    builders_gateway.run_on_virtual_clock(run)
+    return sites[0]
+
+
+async def wait_for(condition: Callable[[], object]) -> None:
+    """Waits until a condition holds, for at most 60 s of virtual time."""
+    with trio.fail_after(60):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+class UsageSiteTestCase(unittest.TestCase):
+    """Checks what the API received, and what nodes counted."""
+
+    def check_promises(self, site: UsageSite) -> None:
+        """Checks what must hold in every failure."""
+        self.assertEqual(find_violations(site.api.calls), [])
+
+    def check_counts(self, site: UsageSite, first: int, last: int) -> None:
+        """Checks windows that no failure may change, numbered from 0."""
+        reported = site.api.reported()
+        for number in range(first, last + 1):
+            window = FIRST_WINDOW + number
+            self.assertIn(window, reported, f"window {number}")
+            truth = site.truth(window)
+            self.assertEqual(reported[window].keys(), truth.keys())
+            for account, count in truth.items():
+                self.assertAlmostEqual(
+                    reported[window][account], count, delta=0.05 * count
+                )
+
+    def check_due(self, site: UsageSite, first: int) -> None:
+        """Checks that windows were reported within the delay."""
+        for call in site.api.calls:
+            if call.window >= FIRST_WINDOW + first:
+                end_s = windows().end_s(call.window)
+                late_s = START_S + call.time_s - end_s
+                self.assertLess(late_s, DELAY_S)
--- a/tests/test_forward_usage.py
+++ b/tests/test_forward_usage.py
@@ -1,10 +1,12 @@
 """Tests of which requests count as run, on a virtual clock."""
 
+from collections.abc import Sequence
 import random
 import unittest
 
 import trio
 
+from geraniumstair import discovery
 from geraniumstair import forward
 from geraniumstair import routing
 from tests import builders_gateway as builders
@@ -49,6 +51,25 @@
         self.table: routing.RouteTable | None = table
 
 
+def _build_fixture(
+    nursery: trio.Nursery,
+    entries: Sequence[discovery.EndpointEntry],
+    route: routing.Route,
+    recorder: _Recorder,
+) -> builders.ForwarderFixture:
+    """Returns a fixture whose forwarder counts requests."""
+    fixture = builders.ForwarderFixture(nursery, entries, [route])
+    fixture.forwarder = forward.Forwarder(
+        fixture.pool,
+        fixture.budget,
+        builders.FakeDialect(),
+        fixture.metrics,
+        usage=recorder,
+    )
+    nursery.start_soon(fixture.forwarder.run)
+    return fixture
+
+
 class UsageCountTest(unittest.TestCase):
     """Guards against counts that differ from what endpoints ran."""
 
@@ -64,9 +85,7 @@
             for service in services
             for index in range(endpoints)
         ]
-        return builders.ForwarderFixture(
-            nursery, entries, [route], usage=self.recorder
-        )
+        return _build_fixture(nursery, entries, route, self.recorder)
 
     async def _forward(
         self,
@@ -241,9 +260,7 @@
             networks: dict[str, builders.FakeNetwork] = {}
             tables = _Table(builders.table([route]))
             local, remote = (
-                builders.ForwarderFixture(
-                    nursery, entries, [route], usage=recorder
-                )
+                _build_fixture(nursery, entries, route, recorder)
                 for _ in range(2)
             )
             delegation = forward.Delegation(
--- a/tests/test_usage_site.py
+++ b/tests/test_usage_site.py
@@ -3,83 +3,29 @@
 Each test injects one failure and checks what the platform's API received.
 """
 
-from collections.abc import Awaitable
-from collections.abc import Callable
-import itertools
 import json
 import unittest
 
 import trio
 
-from geraniumstair import store
 from geraniumstair import usage
-from tests import builders_gateway
 from tests import builders_usage as builders
 
-_FIRST_WINDOW = round(builders.START_S / builders.WINDOW_S)
 _FAILED = usage.ApiOutcome.FAILED
 _THROTTLED = usage.ApiOutcome.THROTTLED
-_Test = Callable[[builders.UsageSite], Awaitable[None]]
 
 
-def _run(
-    test: _Test, clock_errors_s: tuple[float, ...] = (0.0, 0.0, 0.0)
-) -> builders.UsageSite:
-    """Runs a test on a site; returns the site."""
-    sites = []
-
-    async def run(nursery: trio.Nursery) -> None:
-        sites.append(builders.UsageSite(nursery, clock_errors_s))
-        await test(sites[0])
-
-    builders_gateway.run_on_virtual_clock(run)
-    return sites[0]
-
-
-async def _wait_for(condition: Callable[[], object]) -> None:
-    """Waits until a condition holds, for at most 60 s of virtual time."""
-    with trio.fail_after(60):
-        while not condition():
-            await trio.sleep(0.01)
-
-
-class UsageSiteTest(unittest.TestCase):
+class UsageSiteTest(builders.UsageSiteTestCase):
     """Guards against reports that are wrong, late, doubled or out of order."""
 
-    def _check_promises(self, site: builders.UsageSite) -> None:
-        self.assertEqual(builders.find_violations(site.api.calls), [])
-
-    def _check_counts(
-        self, site: builders.UsageSite, first: int, last: int
-    ) -> None:
-        """Checks windows that no failure may change, numbered from 0."""
-        reported = site.api.reported()
-        for number in range(first, last + 1):
-            window = _FIRST_WINDOW + number
-            self.assertIn(window, reported, f"window {number}")
-            truth = site.truth(window)
-            self.assertEqual(reported[window].keys(), truth.keys())
-            for account, count in truth.items():
-                self.assertAlmostEqual(
-                    reported[window][account], count, delta=0.05 * count
-                )
-
-    def _check_due(self, site: builders.UsageSite, first: int) -> None:
-        """Checks that windows were reported within the delay."""
-        for call in site.api.calls:
-            if call.window >= _FIRST_WINDOW + first:
-                end_s = builders.windows().end_s(call.window)
-                late_s = builders.START_S + call.time_s - end_s
-                self.assertLess(late_s, builders.DELAY_S)
-
     def test_each_window_is_reported_once_by_one_holder(self) -> None:
         async def test(site: builders.UsageSite) -> None:
             await site.run_load(40)
 
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 5)
-        self._check_due(site, 0)
+        site = builders.run_site(test)
+        self.check_promises(site)
+        self.check_counts(site, 0, 5)
+        self.check_due(site, 0)
         calls = site.api.calls
         self.assertEqual(len({call.window for call in calls}), len(calls))
         self.assertEqual(len({call.token for call in calls}), 1)
@@ -89,7 +35,7 @@
             site.has_accounts = False
             await trio.sleep(30)
 
-        site = _run(test)
+        site = builders.run_site(test)
         self.assertEqual(site.api.calls, [])
         self.assertEqual(site.messages, {})
         self.assertEqual(site.store.calls, 0)
@@ -104,7 +50,7 @@
                 site.count(node_id, f"t{number % 82}")
                 await trio.sleep(0.04)
 
-        site = _run(test, (0.0,) * 80)
+        site = builders.run_site(test, (0.0,) * 80)
         # 25 requests a second to two receivers; each node repeats a window
         # once.
         self.assertLess(site.messages["UsageTotals"] / 20, 85)
@@ -116,7 +62,7 @@
     def test_a_holder_killed_before_the_record_loses_no_window(self) -> None:
         async def test(site: builders.UsageSite) -> None:
             site.nursery.start_soon(site.run_load, 50)
-            await _wait_for(lambda: len(site.api.calls) == 3)
+            await builders.wait_for(lambda: len(site.api.calls) == 3)
             site.idle_nodes.add(site.find_holder().node_id)
             await trio.sleep(builders.WINDOW_S - 0.3)
             site.kill(site.find_holder().node_id)
@@ -127,10 +73,10 @@
                 [m["reason"] for m in reports["missed"]], ["not_repeated"]
             )
 
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 6)
-        self._check_due(site, 0)
+        site = builders.run_site(test)
+        self.check_promises(site)
+        self.check_counts(site, 0, 6)
+        self.check_due(site, 0)
         self.assertEqual(len({call.node_id for call in site.api.calls}), 2)
 
     def test_a_holder_killed_before_the_call_is_repeated_unchanged(
@@ -140,44 +86,44 @@
 
         async def test(site: builders.UsageSite) -> None:
             site.nursery.start_soon(site.run_load, 50)
-            await _wait_for(lambda: len(site.api.calls) == 2)
+            await builders.wait_for(lambda: len(site.api.calls) == 2)
             known = site.store.find_record()
-            await _wait_for(lambda: site.store.find_record() != known)
+            await builders.wait_for(lambda: site.store.find_record() != known)
             recorded.append(site.store.find_record())
             site.kill(site.find_holder().node_id)
             self.assertEqual(len(site.api.calls), 2)
             await trio.sleep(25)
 
-        site = _run(test)
-        self._check_promises(site)
+        site = builders.run_site(test)
+        self.check_promises(site)
         self.assertEqual(
             site.api.reported()[recorded[0]["window"]], recorded[0]["counts"]
         )
-        self._check_counts(site, 0, 4)
+        self.check_counts(site, 0, 4)
 
     def test_a_holder_killed_after_the_call_is_repeated_exactly(self) -> None:
         async def test(site: builders.UsageSite) -> None:
             site.nursery.start_soon(site.run_load, 40)
-            await _wait_for(lambda: len(site.api.calls) == 2)
+            await builders.wait_for(lambda: len(site.api.calls) == 2)
             site.kill(site.find_holder().node_id)
             await trio.sleep(25)
 
-        site = _run(test)
-        self._check_promises(site)
+        site = builders.run_site(test)
+        self.check_promises(site)
         self.assertEqual(site.api.calls[1].window, site.api.calls[2].window)
-        self._check_counts(site, 0, 4)
+        self.check_counts(site, 0, 4)
 
     def test_a_restarted_holder_waits_as_others_do(self) -> None:
         async def test(site: builders.UsageSite) -> None:
-            await _wait_for(lambda: site.api.calls)
+            await builders.wait_for(lambda: site.api.calls)
             node_id = site.find_holder().node_id
             site.kill(node_id)
             await trio.sleep(0.3)
             site.start(node_id)
             await trio.sleep(30)
 
-        site = _run(test)
-        self._check_promises(site)
+        site = builders.run_site(test)
+        self.check_promises(site)
         self.assertGreater(len(site.api.calls), 4)
 
     def test_holders_that_stop_one_after_the_other_keep_the_order(self) -> None:
@@ -194,10 +140,10 @@
                 site.start(node.node_id)
             await trio.sleep(20)
 
-        site = _run(test, (0.0, 0.0))
-        self._check_promises(site)
+        site = builders.run_site(test, (0.0, 0.0))
+        self.check_promises(site)
         self.assertGreater(len({call.token for call in site.api.calls}), 5)
-        self._check_due(site, 0)
+        self.check_due(site, 0)
 
     def test_holders_that_give_up_after_each_call_keep_the_order(self) -> None:
         # A, B and A again as fast as the duty can move. The first report is
@@ -206,14 +152,16 @@
             site.api.outcomes = [_THROTTLED] * 4
             for _ in range(6):
                 calls = len(site.api.calls)
-                await _wait_for(lambda calls=calls: len(site.api.calls) > calls)
+                await builders.wait_for(
+                    lambda calls=calls: len(site.api.calls) > calls
+                )
                 node = site.find_holder()
                 node.stopping = True
                 await trio.sleep(0.5)
                 node.stopping = False
 
-        site = _run(test, (0.0, 0.0))
-        self._check_promises(site)
+        site = builders.run_site(test, (0.0, 0.0))
+        self.check_promises(site)
         holders = [call.node_id for call in site.api.calls]
         self.assertGreater(sum(h == "n0" for h in holders), 1)
         self.assertGreater(sum(h == "n1" for h in holders), 1)
@@ -225,263 +173,28 @@
 
         async def test(site: builders.UsageSite) -> None:
             site.nursery.start_soon(site.run_load, 45)
-            await _wait_for(lambda: len(site.api.calls) == 2)
+            await builders.wait_for(lambda: len(site.api.calls) == 2)
             holder = site.find_holder()
             thawed = holder.api.thawed = trio.Event()
             known = site.store.find_record()
-            await _wait_for(lambda: site.store.find_record() != known)
+            await builders.wait_for(lambda: site.store.find_record() != known)
             await trio.sleep(0.05)
             holder.access.thawed = thawed
-            site.store.unfollow(holder)
+            site.store.unfollow(holder.mirror)
             frozen.append(holder.node_id)
             await trio.sleep(6.7)
             # Its successor has reported the window.
             self.assertGreater(len(site.api.calls), 2)
             thawed.set()
             await trio.sleep(0.2)
-            site.store.follow(holder)
+            site.store.follow(holder.mirror)
             await trio.sleep(20)
 
-        site = _run(test)
-        self._check_promises(site)
+        site = builders.run_site(test)
+        self.check_promises(site)
         after = site.api.calls[2:]
         self.assertNotIn(frozen[0], [call.node_id for call in after])
 
-    # ---- failures of links and the store ----
-
-    def test_a_holder_cut_off_from_the_store_stops_by_its_own_clock(
-        self,
-    ) -> None:
-        cut = []
-
-        async def test(site: builders.UsageSite) -> None:
-            site.nursery.start_soon(site.run_load, 40)
-            await _wait_for(lambda: len(site.api.calls) == 2)
-            holder = site.find_holder()
-            holder.access.cut = True
-            site.store.unfollow(holder)
-            cut.append((holder.node_id, trio.current_time()))
-            await trio.sleep(30)
-
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 5)
-        node_id, at_s = cut[0]
-        late = [c for c in site.api.calls if c.time_s > at_s + builders.LEASE_S]
-        self.assertTrue(late)
-        self.assertNotIn(node_id, [call.node_id for call in late])
-
-    def test_a_holder_cut_off_from_other_nodes_gives_the_duty_up(self) -> None:
-        # Its own counts are a third of the truth.
-        cut = []
-
-        async def test(site: builders.UsageSite) -> None:
-            site.nursery.start_soon(site.run_load, 40)
-            await _wait_for(lambda: len(site.api.calls) == 2)
-            holder = site.find_holder()
-            # It gets no requests, because its counts reach nobody.
-            site.idle_nodes.add(holder.node_id)
-            await trio.sleep(1.2)
-            holder.network.cut = True
-            cut.append((holder.node_id, trio.current_time()))
-            await trio.sleep(30)
-
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 5)
-        node_id, at_s = cut[0]
-        late = [c.node_id for c in site.api.calls if c.time_s > at_s]
-        self.assertTrue(late)
-        self.assertNotIn(node_id, late)
-
-    def test_a_holder_that_repeats_a_report_stops_with_its_lease(self) -> None:
-        # The record exists, so only the lease ends the repeats.
-        cut = []
-
-        async def test(site: builders.UsageSite) -> None:
-            site.nursery.start_soon(site.run_load, 40)
-            await _wait_for(lambda: len(site.api.calls) == 2)
-            site.api.outcomes = [_FAILED] * 40
-            await _wait_for(lambda: len(site.api.calls) == 3)
-            holder = site.find_holder()
-            holder.access.cut = True
-            site.store.unfollow(holder)
-            cut.append((holder.node_id, trio.current_time()))
-            await trio.sleep(12)
-
-        site = _run(test)
-        self._check_promises(site)
-        node_id, at_s = cut[0]
-        late = [c for c in site.api.calls if c.time_s > at_s + builders.LEASE_S]
-        self.assertTrue(late)
-        self.assertNotIn(node_id, [call.node_id for call in late])
-
-    def test_without_the_store_nothing_is_sent_and_gaps_are_logged(
-        self,
-    ) -> None:
-        async def test(site: builders.UsageSite) -> None:
-            site.nursery.start_soon(site.run_load, 60)
-            await _wait_for(lambda: len(site.api.calls) == 2)
-            site.store.down = True
-            await trio.sleep(1)
-            sent = len(site.api.calls)
-            calls = site.store.calls
-            await trio.sleep(25)
-            self.assertEqual(len(site.api.calls), sent)
-            self.assertLess(site.store.calls - calls, 200)
-            site.store.down = False
-            await trio.sleep(20)
-
-        with self.assertLogs("geraniumstair.usage") as logs:
-            site = _run(test)
-        self._check_promises(site)
-        self.assertIn("no confirmed report", "\n".join(logs.output))
-        # The last windows are reported again.
-        self.assertGreater(len(site.api.calls), 4)
-
-    def test_a_record_with_unknown_result_is_repeated_unchanged(self) -> None:
-        async def test(site: builders.UsageSite) -> None:
-            site.nursery.start_soon(site.run_load, 40)
-            await _wait_for(lambda: len(site.api.calls) == 2)
-            access = site.find_holder().access
-            lost = iter(["lost"])
-            access.commit_fault = lambda transaction: next(lost, "")
-            await trio.sleep(20)
-
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 4)
-        self.assertEqual(len({call.token for call in site.api.calls}), 1)
-
-    def test_a_store_that_loses_answers_makes_no_report_late(self) -> None:
-        # The mirror shows the record, and every second renewal is confirmed.
-        async def test(site: builders.UsageSite) -> None:
-            site.nursery.start_soon(site.run_load, 50)
-            await _wait_for(lambda: len(site.api.calls) == 2)
-            access = site.find_holder().access
-            access.commit_fault = lambda transaction: "lost"
-            lost = itertools.cycle([True, False])
-            access.loses_renewal = lambda: next(lost)
-            await trio.sleep(30)
-
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 6)
-        self.assertEqual(len({call.token for call in site.api.calls}), 1)
-        for call in site.api.calls:
-            end_s = builders.windows().end_s(call.window)
-            self.assertLess(builders.START_S + call.time_s - end_s, 5.0)
-
-    def test_a_record_that_is_written_late_changes_no_report(self) -> None:
-        # The store executes the transaction 4 s after the call timed out.
-        async def test(site: builders.UsageSite) -> None:
-            site.nursery.start_soon(site.run_load, 50)
-            await _wait_for(lambda: len(site.api.calls) == 2)
-            access = site.find_holder().access
-            late = iter([4.0])
-            access.commit_fault = lambda transaction: next(late, "")
-            await trio.sleep(30)
-
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 6)
-
-    def test_a_late_record_of_a_killed_holder_has_no_effect(self) -> None:
-        # Its condition, the creation of the holder's key, fails by then.
-        async def test(site: builders.UsageSite) -> None:
-            site.nursery.start_soon(site.run_load, 50)
-            await _wait_for(lambda: len(site.api.calls) == 2)
-            holder = site.find_holder()
-            sent: list[store.Transaction] = []
-
-            def delay(transaction: store.Transaction) -> float:
-                sent.append(transaction)
-                return 9.0
-
-            holder.access.commit_fault = delay
-            await _wait_for(lambda: sent)
-            site.kill(holder.node_id)
-            await trio.sleep(30)
-
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 6)
-
-    def test_a_key_whose_creation_has_an_unknown_result(self) -> None:
-        # The node must find out that it holds the duty; no other would act.
-        async def test(site: builders.UsageSite) -> None:
-            lost = iter(["lost"])
-            for node in site.nodes.values():
-                node.access.commit_fault = lambda transaction: next(lost, "")
-            await site.run_load(20)
-
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 1)
-
-    def test_a_key_that_is_created_late_has_no_holder(self) -> None:
-        # The lease was ended, so the late creation fails.
-        async def test(site: builders.UsageSite) -> None:
-            late = iter([2.0])
-            for node in site.nodes.values():
-                node.access.commit_fault = lambda transaction: next(late, "")
-            await site.run_load(25)
-
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 1, 2)
-
-    def test_a_restored_store_without_the_last_records(self) -> None:
-        async def test(site: builders.UsageSite) -> None:
-            site.nursery.start_soon(site.run_load, 70)
-            await _wait_for(lambda: len(site.api.calls) == 2)
-            copy = site.store.copy()
-            await _wait_for(lambda: len(site.api.calls) == 4)
-            site.store.restore(copy)
-            await trio.sleep(40)
-            # The newest record is in the store again.
-            record = site.store.find_record()
-            self.assertEqual(record["window"], site.api.calls[-1].window)
-
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 9)
-        self.assertGreater(len(site.api.calls), 8)
-
-    def test_a_holder_that_started_after_the_restore(self) -> None:
-        # It knows the restored record only; the other nodes know the newer one.
-        async def test(site: builders.UsageSite) -> None:
-            site.nursery.start_soon(site.run_load, 70)
-            await _wait_for(lambda: len(site.api.calls) == 2)
-            copy = site.store.copy()
-            await _wait_for(lambda: len(site.api.calls) == 4)
-            site.store.restore(copy)
-            node_id = next(
-                n for n in site.nodes if n != site.api.calls[3].node_id
-            )
-            site.kill(node_id)
-            for node in site.nodes.values():
-                node.stopping = True
-            fresh = site.start(node_id)
-            await _wait_for(lambda: len(site.api.calls) > 4)
-            self.assertEqual(site.find_holder(), fresh)
-            await trio.sleep(10)
-
-        site = _run(test)
-        self._check_promises(site)
-
-    def test_a_restored_store_without_any_key(self) -> None:
-        async def test(site: builders.UsageSite) -> None:
-            copy = site.store.copy()
-            site.nursery.start_soon(site.run_load, 70)
-            await _wait_for(lambda: len(site.api.calls) == 3)
-            site.store.restore(copy)
-            await trio.sleep(40)
-
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 8)
-
     # ---- failures of the API ----
 
     def test_an_api_that_fails_gets_the_same_report_again(self) -> None:
@@ -489,9 +202,9 @@
             site.api.outcomes = [_FAILED, _FAILED, _FAILED]
             await site.run_load(25)
 
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 2)
+        site = builders.run_site(test)
+        self.check_promises(site)
+        self.check_counts(site, 0, 2)
         self.assertEqual([c.window for c in site.api.calls[:4]].count(
             site.api.calls[0].window), 4)  # fmt: skip
 
@@ -501,16 +214,16 @@
             await site.run_load(25)
             self.assertEqual(site.api.outcomes, [])
 
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 2)
+        site = builders.run_site(test)
+        self.check_promises(site)
+        self.check_counts(site, 0, 2)
         # The first window is due at 8 s; three refusals take 3 s.
         self.assertGreaterEqual(site.api.calls[0].time_s, 11)
 
     def test_an_api_that_is_down_loses_windows_with_a_log_line(self) -> None:
         async def test(site: builders.UsageSite) -> None:
             site.nursery.start_soon(site.run_load, 70)
-            await _wait_for(lambda: len(site.api.calls) == 2)
+            await builders.wait_for(lambda: len(site.api.calls) == 2)
             holder = site.find_holder()
             site.api.down = True
             await trio.sleep(25)
@@ -523,19 +236,19 @@
             self.assertGreater(missed[0]["requests"], 0)
 
         with self.assertLogs("geraniumstair.usage") as logs:
-            site = _run(test)
-        self._check_promises(site)
+            site = builders.run_site(test)
+        self.check_promises(site)
         self.assertIn("no confirmed report", "\n".join(logs.output))
-        self._check_due(site, 0)
+        self.check_due(site, 0)
 
     def test_a_slow_api_holds_up_neither_lease_nor_counts(self) -> None:
         async def test(site: builders.UsageSite) -> None:
             site.api.delay_s = 2.4
             await site.run_load(40)
 
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 5)
+        site = builders.run_site(test)
+        self.check_promises(site)
+        self.check_counts(site, 0, 5)
         self.assertEqual(len({call.token for call in site.api.calls}), 1)
 
     # ---- messages ----
@@ -550,18 +263,18 @@
             site.is_lost = is_lost
             await site.run_load(40)
 
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 5)
+        site = builders.run_site(test)
+        self.check_promises(site)
+        self.check_counts(site, 0, 5)
 
     def test_repeated_totals_count_once(self) -> None:
         async def test(site: builders.UsageSite) -> None:
             site.copies = 3
             await site.run_load(30)
 
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 0, 3)
+        site = builders.run_site(test)
+        self.check_promises(site)
+        self.check_counts(site, 0, 3)
 
     def test_what_a_killed_node_has_sent_is_counted(self) -> None:
         # Its restarted process begins with zero, which replaces nothing.
@@ -576,9 +289,9 @@
             site.count(node_id, "a", 4)
             await trio.sleep(14)
 
-        site = _run(test)
-        self._check_promises(site)
-        self._check_counts(site, 1, 1)
+        site = builders.run_site(test)
+        self.check_promises(site)
+        self.check_counts(site, 1, 1)
 
     # ---- clocks ----
 
@@ -590,10 +303,10 @@
                 site.nodes["n2"].clock_error_s = error_s
                 await trio.sleep(10)
 
-        site = _run(test, (2.0, 0.0, 0.0, -3.0, 0.1))
-        self._check_promises(site)
+        site = builders.run_site(test, (2.0, 0.0, 0.0, -3.0, 0.1))
+        self.check_promises(site)
         # Before the first messages, a node has its own clock only.
-        self._check_counts(site, 1, 5)
+        self.check_counts(site, 1, 5)
 
     # ---- what operators see ----
 
@@ -611,7 +324,7 @@
                     site.api.calls[-1].window,
                 )
 
-        _run(test)
+        builders.run_site(test)
 
 
 if __name__ == "__main__":
