--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -430,37 +430,12 @@
         self.assertEqual(settings.metrics.port, 7395)
         self.assertEqual(settings.budget.extra_repeats, 54.0)
 
-    def test_usage_reports_need_the_duty_in_the_settings(self) -> None:
-        self.assertIsNone(self._load().usage)
-        api = {"Address": "10.0.0.9:1", "Duties": ["other"]}
-        self.assertIsNone(self._load(CloudApi=api).usage)
-        api["Duties"] = ["usage_report"]
-        self.assertEqual(
-            self._load(CloudApi=api).usage,
-            gateway.UsageSettings(5.0, 10.0, 3.0, 3),
-        )
-        settings = self._load(
-            CloudApi=api | {"DutyPerS": 50.0},
-            Bounds={"LeaseMs": 800, "ReportWindowS": 2, "UsageDelayS": 4},
-            platform={"Address": "10.9.0.1:8102", "MinTtlMs": 2500},
-        )
-        self.assertEqual(
-            settings.usage, gateway.UsageSettings(2.0, 4.0, 0.8, 3)
-        )
-        # The holder could not act within a shorter lease.
-        settings = self._load(CloudApi=api, Bounds={"LeaseMs": 800})
-        self.assertEqual(
-            settings.usage, gateway.UsageSettings(5.0, 10.0, 0.8, 2)
-        )
-
     def test_invalid_settings_are_rejected(self) -> None:
         for changes in (
             {"NodeName": ""},
             {"Seeds": ["10.0.0.2"]},
             {"InternalPorts": []},
             {"platform": None},
-            {"CloudApi": {"Address": "x", "Duties": ["usage_report"]}},
-            {"Bounds": {"ReportWindowS": 0}},
         ):
             with self.subTest(changes=changes):
                 with self.assertRaises(errors.SettingsError):
--- a/tests/test_platform_usage.py
+++ b/tests/test_platform_usage.py
@@ -1,18 +1,27 @@
-"""Tests of the client of the API for usage reports, against a stand-in."""
+"""Tests of the settings and the API client of usage reports."""
 
 import ast
 from collections.abc import Callable
 import functools
 import json
 import pathlib
+import tempfile
 import unittest
 
 import trio
 
+from geraniumstair import errors
+from geraniumstair import gateway
 from geraniumstair import usage
+from geraniumstair.platform import _settings
 from geraniumstair.platform import _usage_api
 
 _REPORT = usage.Report(353445120, {"acme": 412})
+_API = {
+    "Address": "10.0.0.9:1",
+    "Duties": ["usage_report"],
+    "DutyPerS": 50.0,
+}
 _CONFIRMED = usage.ApiOutcome.CONFIRMED
 
 
@@ -135,5 +144,56 @@
         self.assertNotIn("httpcore", imported)
 
 
+class UsageSettingsTest(unittest.TestCase):
+    """Guards against reports where none are wanted, and useless leases."""
+
+    def _load(self, **changes: object) -> gateway.UsageSettings | None:
+        fields = {
+            "NodeName": "n1",
+            "Zone": "z1",
+            "Listen": {
+                "Front": "10.0.0.1:1",
+                "Ready": "10.0.0.1:2",
+                "Control": "10.0.0.1:3",
+            },
+            "InternalPorts": [7380, 7395],
+            "Bounds": {},
+            "platform": {"Address": "10.9.0.1:8102"},
+        }
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "node.json"
+            path.write_text(json.dumps(fields | changes))
+            loaded = _settings.load_settings(str(path))
+        return _settings.build_gateway_settings(loaded).usage
+
+    def test_reports_need_the_duty_in_the_settings(self) -> None:
+        self.assertIsNone(self._load())
+        self.assertIsNone(self._load(CloudApi=_API | {"Duties": ["other"]}))
+        self.assertEqual(
+            self._load(CloudApi=_API), gateway.UsageSettings(5.0, 10.0, 3.0, 3)
+        )
+
+    def test_the_lease_is_as_long_as_the_store_and_acts_need(self) -> None:
+        bounds = {"LeaseMs": 800, "ReportWindowS": 2, "UsageDelayS": 4}
+        store = {"Address": "10.9.0.1:8102", "MinTtlMs": 2500}
+        self.assertEqual(
+            self._load(CloudApi=_API, Bounds=bounds, platform=store),
+            gateway.UsageSettings(2.0, 4.0, 0.8, 3),
+        )
+        self.assertEqual(
+            self._load(CloudApi=_API, Bounds={"LeaseMs": 800}),
+            gateway.UsageSettings(5.0, 10.0, 0.8, 2),
+        )
+
+    def test_invalid_settings_are_rejected(self) -> None:
+        for changes in (
+            {"CloudApi": _API | {"Address": "x"}},
+            {"Bounds": {"ReportWindowS": 0}},
+        ):
+            with self.subTest(changes=changes):
+                with self.assertRaises(errors.SettingsError):
+                    self._load(**changes)
+
+
 if __name__ == "__main__":
     unittest.main()
