--- a/soak/_site.py
+++ b/soak/_site.py
@@ -61,6 +61,12 @@
         """Whether the process is running."""
         return self._process is not None and self._process.running
 
+    @property
+    def process_id(self) -> int:
+        """Id of the last process."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def exit_status(self) -> int | None:
         """Exit status of the last process; None while it is running."""
