Check that a starting node is not ready while callers wait

The test of a connection made before the imports end now also checks that the readiness listener refuses connections meanwhile, and responds with 503 while the store does not answer.

--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+from typing import Any
 import unittest
 from unittest import mock
 
@@ -44,7 +45,7 @@
     return [sys.executable, "-c", _PROGRAM.format(action=action)]
 
 
-def _settings(callers: str) -> dict[str, object]:
+def _settings(callers: str) -> dict[str, Any]:
     ports = _ports.allocate_ports(4)
     return {
         "NodeName": "n0",
@@ -223,7 +224,10 @@
 
     def test_a_connection_before_the_imports_end_is_answered(self) -> None:
         (port,) = _ports.allocate_ports(1)
-        self.path.write_text(json.dumps(_settings(f"127.0.0.1:{port}")))
+        settings = _settings(f"127.0.0.1:{port}")
+        self.path.write_text(json.dumps(settings))
+        host, _, readiness_port = settings["Listen"]["Ready"].partition(":")
+        readiness = (host, int(readiness_port))
         with contextlib.ExitStack() as stack:
             process = stack.enter_context(
                 subprocess.Popen(
@@ -241,12 +245,20 @@
             )
             caller.sendall(
                 b"GET / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: q1\r\n"
-                b"X-Time-Remaining: 100\r\n\r\n"
+                b"X-Time-Remaining: 500\r\n\r\n"
             )
+            # The load balancer must not take the node for ready.
+            with self.assertRaises(ConnectionRefusedError):
+                socket.create_connection(readiness)
             process.stdin.write("\n")
             process.stdin.flush()
             # It knows no routes, because its store does not answer.
             self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 503 "))
+            check = stack.enter_context(
+                socket.create_connection(readiness, _TIMEOUT_S)
+            )
+            check.sendall(b"GET /api/readiness HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.assertTrue(check.recv(4096).startswith(b"HTTP/1.1 503 "))
 
 
 if __name__ == "__main__":
