Let other modules of the adapter use the configuration's structs

The check of a configuration file decodes the same structs as the node, so that both accept the same files. Moving the structs to a module of their own was ruled out: the node would import one module more at its start.

Tests: test_platform, mypy.

--- a/src/geraniumstair/platform/_decoder.py
+++ b/src/geraniumstair/platform/_decoder.py
@@ -43,7 +43,9 @@
     weight: float = msgspec.field(name="Weight")
 
 
-class _Route(msgspec.Struct):
+class Route(msgspec.Struct):
+    """A route, as an operator writes it."""
+
     host: str = msgspec.field(name="Host")
     prefix: str = msgspec.field(name="Prefix")
     name: str = msgspec.field(name="Name", default="")
@@ -65,20 +67,26 @@
     keyless: bool = msgspec.field(name="Keyless", default=False)
 
 
-class _Service(msgspec.Struct):
+class Service(msgspec.Struct):
+    """The limits of a service, as an operator writes them."""
+
     name: str = msgspec.field(name="Name")
     max_connections: int = msgspec.field(name="MaxConns", default=16)
     warmup_s: float = msgspec.field(name="WarmupS", default=0.0)
     warmup_per_s: float = msgspec.field(name="WarmupPerS", default=0.0)
 
 
-class _Tenant(msgspec.Struct):
+class Tenant(msgspec.Struct):
+    """A client account, as an operator writes it."""
+
     name: str = msgspec.field(name="Name")
     keys: list[str] = msgspec.field(name="ApiKeys", default_factory=list)
     priority: float | None = msgspec.field(name="Priority", default=None)
 
 
-class _Limits(msgspec.Struct):
+class Limits(msgspec.Struct):
+    """The limits of callers' requests, as an operator writes them."""
+
     max_body_bytes: int = msgspec.field(
         name="MaxBodyBytes", default=1024 * 1024
     )
@@ -93,13 +101,15 @@
     )
 
 
-class _Config(msgspec.Struct):
+class Config(msgspec.Struct):
+    """A version of the configuration, as an operator writes it."""
+
     version: int = msgspec.field(name="Version")
-    routes: list[_Route] = msgspec.field(name="Routes")
-    services: list[_Service] = msgspec.field(
+    routes: list[Route] = msgspec.field(name="Routes")
+    services: list[Service] = msgspec.field(
         name="Services", default_factory=list
     )
-    limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
+    limits: Limits = msgspec.field(name="Limits", default_factory=Limits)
     # Decoded only if it differs from that of the last version.
     tenants: msgspec.Raw = msgspec.field(
         name="Tenants", default=msgspec.Raw(b"null")
@@ -151,7 +161,7 @@
             self._directory = (
                 None
                 if text == b"null"
-                else _build_directory(_decode_json(text, list[_Tenant]))
+                else _build_directory(decode_json(text, list[Tenant]))
             )
             self._digest = digest
         return self._directory
@@ -187,7 +197,7 @@
             )
             return None
         try:
-            config = _decode_json(item.value, _Config)
+            config = decode_json(item.value, Config)
             directory = self._directories.decode(config.tenants)
         except ValueError as error:
             _LOG.error("platform: the configuration is invalid: %s", error)
@@ -201,7 +211,7 @@
         if item.value is None:
             return gateway.EndpointEntryRemoved(endpoint_id)
         try:
-            server = _decode_json(item.value, _Server)
+            server = decode_json(item.value, _Server)
             entry = _build_endpoint_entry(endpoint_id, server, item.revision)
         except ValueError as error:
             # A warning suffices: other writers may use the same prefix.
@@ -227,7 +237,7 @@
         )
 
 
-def _decode_json(value: bytes, value_type: type[_T]) -> _T:
+def decode_json(value: bytes, value_type: type[_T]) -> _T:
     """Decodes a value of the store.
 
     Raises:
@@ -248,7 +258,7 @@
     if item.value is None:
         return gateway.RolloutOrderRemoved(service)
     try:
-        order = _decode_json(item.value, _Rollout)
+        order = decode_json(item.value, _Rollout)
     except ValueError as error:
         _LOG.error("platform: the rollout of %s is invalid: %s", service, error)
         return None
@@ -264,7 +274,7 @@
     if item.value is None:
         return gateway.RolloutRecordRemoved(service)
     try:
-        status = _decode_json(item.value, _RolloutStatus)
+        status = decode_json(item.value, _RolloutStatus)
         progress = _ROLLOUT_STATES[status.state]
     except (ValueError, KeyError) as error:
         _LOG.error(
@@ -302,7 +312,7 @@
 
 
 def _build_route_table(
-    config: _Config, directory: accounts.AccountDirectory | None
+    config: Config, directory: accounts.AccountDirectory | None
 ) -> routing.RouteTable:
     return routing.RouteTable(
         config.version,
@@ -320,7 +330,7 @@
     )
 
 
-def _build_caller_limits(limits: _Limits) -> routing.CallerLimits:
+def _build_caller_limits(limits: Limits) -> routing.CallerLimits:
     """Returns the limits; a value that would end all requests has no effect."""
     defaults = routing.CallerLimits()
     header_timeout_s = limits.header_timeout_ms / 1000
@@ -344,7 +354,7 @@
 
 
 def _build_directory(
-    tenants: list[_Tenant],
+    tenants: list[Tenant],
 ) -> accounts.AccountDirectory:
     entries = []
     for tenant in tenants:
@@ -366,7 +376,7 @@
     return directory
 
 
-def _build_route(route: _Route) -> routing.Route:
+def _build_route(route: Route) -> routing.Route:
     parts = tuple(
         routing.SplitPart(part.service, part.weight) for part in route.split
     )
