Report every entry of a configuration that cannot be decoded

Decoding ends at the first fault, so an operator had to run the check once for each. The lists are now decoded entry by entry if the whole cannot be. A service that only the ignored field of a route with a split names counts as unused.

Ruled out: going on with the other checks over the entries that can be decoded, because routes would seem to lead to services that are merely undecodable.

--- a/src/geraniumstair/configuration_check/_unmatched.py
+++ b/src/geraniumstair/configuration_check/_unmatched.py
@@ -52,7 +52,9 @@
 ) -> Iterator[_finding.Finding]:
     used: set[str] = set()
     for route in configuration.routes:
-        used.add(route.service)
+        # Nodes ignore the service of a route with a split.
+        if not route.split:
+            used.add(route.service)
         used.update(part.service for part in route.split)
         used.update(route.shards)
     for service in configuration.services:
--- a/src/geraniumstair/platform/_check_model.py
+++ b/src/geraniumstair/platform/_check_model.py
@@ -32,7 +32,7 @@
 
     Raises:
         ValueError: A field is missing or has another type, or the value is not
-            JSON. The text names the place of the first fault, and no value.
+            JSON. `_decoding_faults` lists the reasons.
     """
     config = _decoder.decode_json(value, _decoder.Config)
     tenants = _decode_tenants(bytes(config.tenants))
@@ -58,14 +58,7 @@
     # As on nodes, null means that callers need no keys.
     if value == b"null":
         return None
-    try:
-        return _decoder.decode_json(value, list[_decoder.Tenant])
-    except ValueError as error:
-        # The place in the text is relative to this list.
-        field = FIELD_NAMES[configuration_check.Section.CONFIGURATION][
-            "accounts"
-        ]
-        raise ValueError(f"{field}: {error}") from error
+    return _decoder.decode_json(value, list[_decoder.Tenant])
 
 
 def _build_route(route: _decoder.Route) -> configuration_check.Route:
--- a/src/geraniumstair/platform/check.py
+++ b/src/geraniumstair/platform/check.py
@@ -11,6 +11,7 @@
 
 from geraniumstair import configuration_check
 from geraniumstair.platform import _check_model
+from geraniumstair.platform import _decoding_faults
 
 _EXIT_OK = 0
 _EXIT_ERRORS = 1
@@ -48,36 +49,38 @@
         proposed: Contents of the file to check.
         in_force: Contents of the file to compare with, if there is one.
     """
-    findings: list[configuration_check.Finding] = []
-    configuration = base = None
-    try:
-        configuration = _check_model.decode(proposed)
+    configuration, findings = _decode(proposed, "not decodable")
+    if configuration is not None:
         findings += configuration_check.check(configuration)
-    except ValueError as error:
-        findings.append(_undecodable("not decodable", error))
     if in_force is None:
         return findings
-    try:
-        base = _check_model.decode(in_force)
-    except ValueError as error:
-        findings.append(
-            _undecodable("the version in force is not decodable", error)
-        )
+    base, faults = _decode(in_force, "the version in force is not decodable")
+    findings += faults
     if configuration is not None and base is not None:
         findings += configuration_check.compare(base, configuration)
     return findings
 
 
-def _undecodable(
-    message: str, error: ValueError
-) -> configuration_check.Finding:
-    return configuration_check.Finding(
-        configuration_check.Severity.ERROR,
-        configuration_check.Section.CONFIGURATION,
-        "",
-        (),
-        f"{message}: {error}",
-    )
+def _decode(
+    value: bytes, fault: str
+) -> tuple[
+    configuration_check.Configuration | None, list[configuration_check.Finding]
+]:
+    """Returns a configuration, or None and the reasons."""
+    try:
+        return _check_model.decode(value), []
+    except ValueError as error:
+        reasons = _decoding_faults.list_faults(value) or [str(error)]
+        return None, [
+            configuration_check.Finding(
+                configuration_check.Severity.ERROR,
+                configuration_check.Section.CONFIGURATION,
+                "",
+                (),
+                f"{fault}: {reason}",
+            )
+            for reason in reasons
+        ]
 
 
 def _print_findings(
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -26,11 +26,11 @@
      "error: configuration: not decodable: Object missing required field "
      "`Version`"),
     ({(*_A, "TimeoutMs"): "1"},
-     "error: configuration: not decodable: Expected `float`, got `str` - at "
-     "`$.Routes[0].TimeoutMs`"),
+     "error: configuration: not decodable: Routes[0]: Expected `float`, got "
+     "`str` - at `$.TimeoutMs`"),
     ({("Tenants", 0, "ApiKeys", 0): 5},
-     "error: configuration: not decodable: Tenants: Expected `str`, got `int` "
-     "- at `$[0].ApiKeys[0]`"),
+     "error: configuration: not decodable: Tenants[0]: Expected `str`, got "
+     "`int` - at `$.ApiKeys[0]`"),
     ({(*_C, "Service"): "w"},
      "error: route 'p.example/c/': Service: the service 'w' is not named"),
     ({(*_B, "WeightedSplit", 2): {"Service": "w", "Weight": 1}},
@@ -72,6 +72,8 @@
      "port from a request's host"),
     ({("Services", 4): {"Name": "w"}},
      "warning: service 'w': Name: no route leads to the service"),
+    ({("Services", 4): {"Name": "w"}, (*_B, "Service"): "w"},
+     "warning: service 'w': Name: no route leads to the service"),
     ({(*_A, "LatencyGoalMs"): 601},
      "warning: route 'p.example/a/': LatencyGoalMs, TimeoutMs: the latency "
      "goal of 601 ms is above the timeout of 600 ms"),
@@ -170,8 +172,31 @@
             ["change: route 'p.example/c/': added"],
         )
 
+    def test_each_entry_that_is_not_decodable_is_an_error(self) -> None:
+        # Decoding ends at the first fault, which hid the others.
+        changes = {
+            (*_A, "Host"): 1,
+            (*_C, "Host"): builders.REMOVED,
+            ("Services",): {},
+            ("Tenants", 1, "Name"): None,
+            ("Limits", "MaxBodyBytes"): "1",
+        }
+        lines = _list_lines(builders.build_file(changes))
+        places = [line.split(": ")[3] for line in lines]
+        self.assertEqual(
+            places[:4], ["Routes[0]", "Routes[2]", "Services", "Tenants[1]"]
+        )
+        self.assertTrue(lines[4].endswith("`$.Limits.MaxBodyBytes`"))
+        self.assertEqual(len(lines), 5)
+
     def test_what_is_not_json_is_an_error_of_its_own_file(self) -> None:
-        for value in (b"", b"\xff", b'{"Version":"\xff"}', b"[" * 100_000):
+        for value in (
+            b"",
+            b"\xff",
+            b'{"Version":"\xff"}',
+            b"[" * 100_000,
+            b"[]",
+        ):
             with self.subTest(value=value[:20]):
                 self.assertEqual(len(_list_lines(value)), 1)
                 (line,) = _list_lines(builders.build_file(), value)
