Say which nodes ignore a version that is not greater

Only a node that holds a version ignores another with the same or a lower number (`gateway/_state`); one that starts later takes what the store holds.

Tests: test_docs, test_configuration_check.

--- a/src/geraniumstair/configuration_check/_difference.py
+++ b/src/geraniumstair/configuration_check/_difference.py
@@ -51,7 +51,8 @@
 
 
 def _compare_versions(old: int, new: int) -> Iterator[_finding.Finding]:
-    # Nodes keep the version in force unless the number rises.
+    # Running nodes keep the version in force unless the number rises; a node
+    # that starts later takes whichever the store holds.
     if new <= old:
         yield _finding.Finding(
             _finding.Severity.WARNING,
