--- a/src/geraniumstair/forward/_forwarder.py
+++ b/src/geraniumstair/forward/_forwarder.py
@@ -111,6 +111,7 @@
         The request's priority replaces the route's. If the task is cancelled
         because the caller disconnected, its calls are abandoned.
         """
+        self._record_priority(route)
         route = _apply_priority(request, route)
         runs = self._open_requests.begin(request)
         if runs is None:
@@ -165,13 +166,20 @@
             self._context.suspects.record_answer(request)
         return result
 
-    def _is_most_urgent(self, route: routing.Route) -> bool:
-        """Returns whether no other route of the same shards is more urgent."""
+    def _record_priority(self, route: routing.Route) -> None:
         urgent = self._urgent_priorities.get(route.shards)
-        if urgent is None or route.priority < urgent:
+        if route.is_search and (urgent is None or route.priority < urgent):
             if len(self._urgent_priorities) >= _admission.MAX_SHARD_SETS:
                 self._urgent_priorities.clear()
-            self._urgent_priorities[route.shards] = urgent = route.priority
+            self._urgent_priorities[route.shards] = route.priority
+
+    def _is_most_urgent(self, route: routing.Route) -> bool:
+        """Returns whether no other route of the same shards is more urgent.
+
+        The priorities of accounts do not count as those of routes: an urgent
+        account may use the whole limit, and takes nothing from the others.
+        """
+        urgent = self._urgent_priorities.get(route.shards, route.priority)
         return route.priority <= urgent
 
     def _create_search(
--- a/src/geraniumstair/gateway/_application.py
+++ b/src/geraniumstair/gateway/_application.py
@@ -366,7 +366,9 @@
         target=target,
         path=path.decode("latin-1"),
         headers=list(scope["headers"]),
-        received_s=trio.current_time(),
+        received_s=scope.get("extensions", {}).get(
+            "received_s", trio.current_time()
+        ),
     )
 
 
--- a/src/geraniumstair/gateway/_configuration_reader.py
+++ b/src/geraniumstair/gateway/_configuration_reader.py
@@ -27,6 +27,8 @@
 _MIN_READ_INTERVAL_S = 0.2
 # A peer whose notices are older than four of their intervals is out of contact.
 CONTACT_TIMEOUT_S = 2.0
+# How often a node that waits for its turn checks that it still has contact.
+CONTACT_CHECK_INTERVAL_S = 0.5
 
 
 class StoreKeyReader(Protocol):
@@ -113,12 +115,14 @@
         )
 
     async def _wait_after_failure(self, failures: int) -> None:
-        in_contact = self._exchange.contact_age_s < CONTACT_TIMEOUT_S
-        retry_s = accounts.compute_retry_s(
-            failures,
-            self._member_count if in_contact else 1,
-            self._rng.random(),
-        )
+        in_contact = self._in_contact
+        jitter = self._rng.random()
+        alone_s = accounts.compute_retry_s(failures, 1, jitter)
+        retry_s = alone_s
+        if in_contact:
+            retry_s = accounts.compute_retry_s(
+                failures, self._member_count, jitter
+            )
         _LOG.info(
             "gateway: cannot read the configuration to confirm it",
             extra=observe.fields(
@@ -128,7 +132,17 @@
                 age_s=round(self._freshness.age_s, 2),
             ),
         )
-        await trio.sleep(retry_s)
+        failed_s = now_s = trio.current_time()
+        # A node that loses its peers does not wait for its turn among them.
+        while now_s < failed_s + (retry_s if self._in_contact else alone_s):
+            await trio.sleep_until(
+                min(failed_s + retry_s, now_s + CONTACT_CHECK_INTERVAL_S)
+            )
+            now_s = trio.current_time()
+
+    @property
+    def _in_contact(self) -> bool:
+        return self._exchange.contact_age_s < CONTACT_TIMEOUT_S
 
     async def _read_once(self) -> bool:
         """Confirms the configuration; False if the store did not answer."""
--- a/src/geraniumstair/gateway/_key_revocation.py
+++ b/src/geraniumstair/gateway/_key_revocation.py
@@ -46,12 +46,13 @@
             clock or _read_boot_clock_s, lambda: self.check.is_strict
         )
         self.check = accounts.KeyCheck(
-            limits, self.freshness, self._has_accounts
+            limits, self.freshness, self.has_accounts
         )
         self.exchange = mirror.FreshnessExchange(self.freshness)
         self._reader: _configuration_reader.ConfigurationReader | None = None
 
-    def _has_accounts(self) -> bool:
+    def has_accounts(self) -> bool:
+        """Returns whether the configuration in force holds accounts."""
         table = self.find_table()
         return table is not None and table.accounts is not None
 
@@ -96,7 +97,7 @@
         """Returns the state, without keys."""
         age_s = self.freshness.age_s
         return {
-            "in_force": self._has_accounts(),
+            "in_force": self.has_accounts(),
             "strict": self.check.is_strict,
             "can_judge_keys": self.check.is_allowed,
             "freshness_age_s": round(age_s, 3)
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -268,7 +268,7 @@
             self._network,
             self._adapters.store,
             self._adapters.usage_api,
-            lambda: _has_accounts(state.table),
+            self._key_revocation.has_accounts,
             lambda: self._lifecycle.stopping,
         )
         self._usage.follow_mirror(self._mirror)
@@ -492,11 +492,6 @@
             await self._presence.deregister()
 
 
-def _has_accounts(table: routing.RouteTable | None) -> bool:
-    """Returns whether the configuration in force holds client accounts."""
-    return table is not None and table.accounts is not None
-
-
 async def _ignore_signals(signals: object) -> None:
     async for signal_number in signals:  # type: ignore[attr-defined]
         _LOG.info("gateway: ignored signal %d during shutdown", signal_number)
--- a/src/geraniumstair/gateway/_usage.py
+++ b/src/geraniumstair/gateway/_usage.py
@@ -242,9 +242,11 @@
         for node_id, message in due.items():
             if node_id == self._node_id:
                 self._apply_totals(node_id, message)
-            elif self._network.send(node_id, message):
+                continue
+            if self._network.send(node_id, message):
                 self._metrics.totals.inc()
-            else:
+            if not self._network.is_responsive(node_id):
+                # Sent again when the stream is open, or has been replaced.
                 self._sender.mark_lost(node_id)
         return bool(due)
 
--- a/src/geraniumstair/listeners/_connection.py
+++ b/src/geraniumstair/listeners/_connection.py
@@ -27,6 +27,8 @@
 _DISCARD_LIMIT_BYTES = 1024 * 1024
 # Heads of ordinary requests do not wait for memory.
 _MAX_FREE_HEAD_BYTES = 8 * 1024
+# Blank lines that a client may send before a request.
+_MAX_BLANK_LINES = 8
 _EMPTY_FIELDS = [(b"content-length", b"0"), (b"connection", b"close")]
 
 Application = Callable[
@@ -144,11 +146,12 @@
             head = await self._read_head(limits)
             if head is None:
                 return False
+            received_s = trio.current_time()
             body = await self._read_body(head, limits)
         except _head.RefusedRequest as refusal:
             await self._refuse(refusal)
             return False
-        return await self._run(head, body)
+        return await self._run(head, body, received_s)
 
     async def _read_head(
         self, limits: _limits.RequestLimits
@@ -161,8 +164,12 @@
             self._context.idle_until_s,
         )
         head_deadline_s = math.inf
+        blank_lines = 0
         while True:
             while transport.buffer.startswith(b"\r\n"):
+                blank_lines += 1
+                if blank_lines > _MAX_BLANK_LINES:
+                    raise _head.RefusedRequest(400, "too many blank lines")
                 transport.buffer = transport.buffer[2:]
             self._awaits_head = not transport.buffer
             if transport.buffer:
@@ -238,7 +245,9 @@
         self._update_account()
         body_bytes = reader.held_bytes
         if not reader.complete:
-            body_bytes = head.length or limits.max_body_bytes
+            body_bytes = max(
+                head.length or limits.max_body_bytes, _body.BLOCK_BYTES
+            )
         # The node holds the body, a copy for an endpoint, and the response.
         self._message_bytes += await self.account.reserve(
             2 * body_bytes
@@ -257,8 +266,10 @@
             transport.buffer = reader.feed(await transport.receive())
         return reader.take()
 
-    async def _run(self, head: _head.Head, body: bytes) -> bool:
-        exchange = _exchange.Exchange(head, body, self)
+    async def _run(
+        self, head: _head.Head, body: bytes, received_s: float
+    ) -> bool:
+        exchange = _exchange.Exchange(head, body, received_s, self)
         del body
         self._phase = _eviction.Phase.RUNNING
         scope = exchange.build_scope()
--- a/src/geraniumstair/listeners/_exchange.py
+++ b/src/geraniumstair/listeners/_exchange.py
@@ -45,6 +45,7 @@
     Args:
         head: Head of the request.
         body: Body of the request.
+        received_s: When the head had arrived, on trio's clock.
         writer: Sends the response.
 
     Attributes:
@@ -52,11 +53,16 @@
     """
 
     def __init__(
-        self, head: _head.Head, body: bytes, writer: ResponseWriter
+        self,
+        head: _head.Head,
+        body: bytes,
+        received_s: float,
+        writer: ResponseWriter,
     ) -> None:
         self.keep_alive = False
         self._head = head
         self._body: bytes | None = body
+        self._received_s = received_s
         self._writer = writer
         self._start: Mapping[str, Any] | None = None
         self._head_sent = False
@@ -77,6 +83,8 @@
             "query_string": query,
             "root_path": "",
             "headers": self._head.fields,
+            # The caller's time runs from here, not from the end of its body.
+            "extensions": {"received_s": self._received_s},
         }
 
     async def receive(self) -> dict[str, Any]:
--- a/src/geraniumstair/listeners/_memory.py
+++ b/src/geraniumstair/listeners/_memory.py
@@ -69,9 +69,7 @@
         Returns:
             The bytes by which `held_bytes` has grown.
         """
-        granted_bytes = await self._budget.reserve(added_bytes, self)
-        self.held_bytes += granted_bytes
-        return granted_bytes
+        return await self._budget.reserve(added_bytes, self)
 
     def drop(self) -> None:
         """Ends the connection; called by the budget only."""
@@ -169,7 +167,7 @@
         lane = self._small if added_bytes <= _MAX_SMALL_BYTES else self._large
         added_bytes = min(added_bytes, lane.max_bytes // 2)
         if not lane.waiters and self._fits(added_bytes, lane):
-            self._add(added_bytes, account)
+            self._hold(added_bytes, account)
             return added_bytes
         waiter = _Waiter(
             account, added_bytes, trio.current_time(), trio.Event()
@@ -179,7 +177,9 @@
         try:
             await waiter.granted.wait()
         except trio.Cancelled:
-            if not waiter.granted.is_set():
+            # What was granted is part of what the connection holds, and is
+            # given back at its end.
+            if waiter in lane.waiters:
                 lane.waiters.remove(waiter)
             self._grant()
             raise
@@ -232,6 +232,10 @@
         if accounts:
             self._report_dropped(len(accounts), self.drop(accounts))
 
+    def _hold(self, added_bytes: int, account: Account) -> None:
+        account.held_bytes += added_bytes
+        self._add(added_bytes, account)
+
     def _add(self, added_bytes: int, account: Account) -> None:
         self.used_bytes += added_bytes
         if account.dropped:
@@ -242,13 +246,16 @@
 
     def _grant(self) -> None:
         for lane in (self._small, self._large):
-            while lane.waiters and self._fits(
-                lane.waiters[0].added_bytes, lane
-            ):
-                self._grant_first(lane)
+            while lane.waiters:
+                if lane.waiters[0].account.dropped:
+                    lane.waiters.popleft()
+                elif self._fits(lane.waiters[0].added_bytes, lane):
+                    self._grant_first(lane)
+                else:
+                    break
 
     def _grant_first(self, lane: _Lane) -> None:
         waiter = lane.waiters.popleft()
-        self._add(waiter.added_bytes, waiter.account)
+        self._hold(waiter.added_bytes, waiter.account)
         lane.last_grant_s = trio.current_time()
         waiter.granted.set()
--- a/src/geraniumstair/listeners/_server.py
+++ b/src/geraniumstair/listeners/_server.py
@@ -149,6 +149,7 @@
                     task_status.started(listener.socket.getsockname()[1])
                     await shutdown()
                     accepting.cancel_scope.cancel()
+                await self._accept_backlog(listener, nursery)
             finally:
                 listener.socket.close()
             self.closing = True
@@ -185,9 +186,35 @@
                 self._drop_for_descriptors()
                 await trio.sleep(_CAPACITY_RETRY_S)
                 continue
-            connection = _connection.Connection(stream, self)
-            self._connections[connection] = None
-            nursery.start_soon(self._serve_connection, connection, stream)
+            self._start_connection(stream, nursery)
+
+    def _start_connection(
+        self, stream: trio.SocketStream, nursery: trio.Nursery
+    ) -> None:
+        connection = _connection.Connection(stream, self)
+        self._connections[connection] = None
+        nursery.start_soon(self._serve_connection, connection, stream)
+
+    async def _accept_backlog(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        """Accepts what has connected before the listener closes.
+
+        Closing the listener resets the connections that wait in its backlog.
+        """
+        while len(
+            self._connections
+        ) < self._resources.max_connections and _transport.is_ready(
+            listener.socket, select.POLLIN
+        ):
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                if error.errno in _ABORTED_ERRORS:
+                    continue
+                _LOG.warning("listeners: cannot accept a connection: %s", error)
+                return
+            self._start_connection(stream, nursery)
 
     async def _make_room(self) -> None:
         """Waits until a connection ends; drops some after a while."""
--- a/src/geraniumstair/listeners/_transport.py
+++ b/src/geraniumstair/listeners/_transport.py
@@ -102,21 +102,29 @@
                 position += await self._send_piece(piece)
 
     async def _send_piece(self, piece: memoryview) -> int:
-        deadline_s = self.pace.start_wait(trio.current_time())
+        socket = self._stream.socket
+        if not is_ready(socket, select.POLLOUT):
+            await self._wait_writable()
         try:
-            with trio.CancelScope(deadline=deadline_s) as scope:
-                sent_bytes = await self._stream.socket.send(piece)
+            sent_bytes = await socket.send(piece)
         except OSError:
             raise ClientGone from None
-        finally:
-            self.pace.end_wait(trio.current_time())
-        if scope.cancelled_caught:
-            if not is_ready(self._stream.socket, select.POLLOUT):
-                raise TimedOut
-            return 0
         self.pace.moved_bytes += sent_bytes
         return sent_bytes
 
+    async def _wait_writable(self) -> None:
+        socket = self._stream.socket
+        deadline_s = self.pace.start_wait(trio.current_time())
+        try:
+            with trio.CancelScope(deadline=deadline_s) as scope:
+                await trio.lowlevel.wait_writable(socket)
+        finally:
+            self.pace.end_wait(trio.current_time())
+        # A process that was frozen finds both the limit exceeded and a client
+        # that has read in time.
+        if scope.cancelled_caught and not is_ready(socket, select.POLLOUT):
+            raise TimedOut
+
     async def discard_rest(self, limit_s: float, limit_bytes: int) -> None:
         """Ends the sending side, and discards what the client still sends.
 
--- a/src/geraniumstair/platform/_settings.py
+++ b/src/geraniumstair/platform/_settings.py
@@ -13,6 +13,7 @@
 from geraniumstair import forward
 from geraniumstair import gateway
 from geraniumstair import peers
+from geraniumstair.platform import _usage_api
 
 READINESS_PATH = "/api/readiness"
 # Traffic between availability zones is charged for, so a node prefers endpoints
@@ -187,7 +188,8 @@
     return gateway.UsageSettings(
         window_s=bounds.report_window_s,
         delay_s=bounds.usage_delay_s,
-        quiet_s=bounds.lease_ms / 1000,
+        # A call that is held up must not arrive after a successor's first.
+        quiet_s=max(bounds.lease_ms / 1000, _usage_api.CALL_TIMEOUT_S),
         ttl_s=max(_MIN_LEASE_S, math.ceil(ttl_ms / 1000)),
     )
 
--- a/src/geraniumstair/platform/_usage_api.py
+++ b/src/geraniumstair/platform/_usage_api.py
@@ -2,9 +2,11 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+import functools
 import logging
 import socket
 import struct
+from typing import Any
 
 import msgspec
 import trio
@@ -27,6 +29,14 @@
     socket.SO_LINGER,
     struct.pack("ii", 1, 0),
 )
+# The kernel discards bytes that were not acknowledged for this time. A frozen
+# process cannot close its connection, and a successor may act before it wakes.
+_UNACKNOWLEDGED_LIMIT_MS = 2000
+_USER_TIMEOUT = (
+    socket.IPPROTO_TCP,
+    socket.TCP_USER_TIMEOUT,
+    _UNACKNOWLEDGED_LIMIT_MS,
+)
 
 
 class _Body(msgspec.Struct):
@@ -56,9 +66,8 @@
         self, report: usage.Report, token: int, may_send: Callable[[], bool]
     ) -> usage.ApiOutcome:
         """Sends a report; see `usage.ReportApi`."""
-        # Only the holder needs it, and its import takes long.
-        import httpcore
-
+        # Only the holder needs it, and its import would stop the node.
+        httpcore = await trio.to_thread.run_sync(_import_httpcore)
         body = msgspec.json.encode(_Body(report.window, report.counts))
         headers = [
             ("X-Duty-Holder", self._node_id),
@@ -72,7 +81,7 @@
         with trio.move_on_after(CALL_TIMEOUT_S):
             try:
                 async with httpcore.AsyncConnectionPool(
-                    socket_options=[_RESET_AT_CLOSE]
+                    socket_options=[_RESET_AT_CLOSE, _USER_TIMEOUT]
                 ) as pool:
                     response = await pool.request(
                         "POST",
@@ -108,6 +117,13 @@
         return usage.ApiOutcome.FAILED
 
 
+@functools.cache
+def _import_httpcore() -> Any:
+    import httpcore
+
+    return httpcore
+
+
 async def _send_if_allowed(
     body: bytes, may_send: Callable[[], bool]
 ) -> AsyncIterator[bytes]:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -217,6 +217,19 @@
 class PriorityTest(unittest.TestCase):
     """Guards against accounts that are served with the route's priority."""
 
+    def test_an_urgent_account_takes_no_share_from_the_others(self) -> None:
+        # After one search of an urgent account, searches of all others were
+        # admitted to a part of the limit only, until the node restarted.
+        async def test(nursery: trio.Nursery) -> None:
+            search = builders_gateway.search_route(["s1"], priority=3)
+            fixture = builders_gateway.ForwarderFixture(nursery, [], [search])
+            for priority in (0, None):
+                request = builders_gateway.caller_request(priority=priority)
+                await fixture.forwarder.forward(request, search)
+            self.assertTrue(fixture.forwarder._is_most_urgent(search))
+
+        builders_gateway.run_on_virtual_clock(test)
+
     def test_calls_have_the_priority_of_the_account(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
             search = builders_gateway.search_route(["s1"], priority=3)
--- a/tests/test_listeners_eviction.py
+++ b/tests/test_listeners_eviction.py
@@ -1,5 +1,6 @@
 """Tests of which connections are dropped, and of who waits for memory."""
 
+import functools
 import unittest
 
 import trio
@@ -237,6 +238,34 @@
 
         self._run(test)
 
+    def test_a_dropped_waiter_gives_back_what_it_was_granted(self) -> None:
+        # Each such connection lowered the bound until the process ended.
+        async def test(*, drop_first: bool) -> None:
+            budget = _memory.MemoryBudget(1000, list, lambda count, freed: None)
+            scope = trio.CancelScope()
+            holder = _memory.Account(budget, lambda: None)
+            waiter = _memory.Account(budget, scope.cancel)
+            holder.set_held(700)
+
+            async def wait() -> None:
+                with scope:
+                    await waiter.reserve(300)
+                waiter.set_held(0)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(wait)
+                await trio.testing.wait_all_tasks_blocked()
+                if drop_first:
+                    budget.drop([waiter])
+                holder.set_held(0)
+                budget.drop([waiter])
+            self.assertEqual(budget.used_bytes, 0)
+            self.assertEqual(budget._freeing_bytes, 0)
+
+        for drop_first in (False, True):
+            with self.subTest(drop_first=drop_first):
+                trio.run(functools.partial(test, drop_first=drop_first))
+
     def test_accounts_balance_after_connections_were_dropped(self) -> None:
         async def test(connections, nursery) -> None:
             silent = connections.add(100, 9.0)
--- a/tests/test_listeners_protocol.py
+++ b/tests/test_listeners_protocol.py
@@ -67,6 +67,7 @@
             "chunk size": _request(chunked, b"x\r\n"),
             "chunk end": _request(chunked, b"1\r\nab\r\n"),
             "chunk line feed": _request(chunked, b"1\na\r\n0\r\n\r\n"),
+            "blank lines without end": b"\r\n" * 9,
             "long trailers": _request(
                 chunked, b"0\r\n" + b"A: b\r\n" * 300 + b"\r\n"
             ),
@@ -285,6 +286,27 @@
 
         builders_listener.run(test)
 
+    def test_connections_in_the_backlog_are_answered(self) -> None:
+        # Closing the listener reset what it had not accepted yet.
+        async def test(fixture) -> None:
+            sockets = [
+                socket.create_connection(("127.0.0.1", fixture.port))
+                for _ in range(20)
+            ]
+            for client in sockets:
+                client.sendall(_request())
+            fixture.close.set()
+            for client in sockets:
+                client.setblocking(False)
+                stream = trio.SocketStream(
+                    trio.socket.from_stdlib_socket(client)
+                )
+                received = await builders_listener.read_response(stream, b"!")
+                self.assertTrue(received.endswith(b"!"))
+                await stream.aclose()
+
+        builders_listener.run(test)
+
     def test_idle_connections_do_not_delay_the_end(self) -> None:
         async def test(fixture) -> None:
             async with await fixture.connect():
--- a/tests/test_platform_usage.py
+++ b/tests/test_platform_usage.py
@@ -178,11 +178,11 @@
         store = {"Address": "10.9.0.1:8102", "MinTtlMs": 2500}
         self.assertEqual(
             self._load(CloudApi=_API, Bounds=bounds, platform=store),
-            gateway.UsageSettings(2.0, 4.0, 0.8, 3),
+            gateway.UsageSettings(2.0, 4.0, 2.5, 3),
         )
         self.assertEqual(
             self._load(CloudApi=_API, Bounds={"LeaseMs": 800}),
-            gateway.UsageSettings(5.0, 10.0, 0.8, 2),
+            gateway.UsageSettings(5.0, 10.0, 2.5, 2),
         )
 
     def test_invalid_settings_are_rejected(self) -> None:
