Force calls only to endpoints that start, not to those that were down

Cause, found by review: an endpoint that stays silent after it was down got the calls that its pace allows at any cost, and its history was replaced by its siblings' latency each time.

--- a/src/geraniumstair/forward/_pace.py
+++ b/src/geraniumstair/forward/_pace.py
@@ -92,9 +92,9 @@
         self._share = self._start_share
         self._grown_s = now_s
         self._credit = credit
-        # An endpoint that was only avoided may fail often, so it gets no calls
-        # that its cost would not bring it.
-        self._ensures_calls = cause is not Cause.AVOIDED
+        # An endpoint that failed may fail or stay silent again, so it gets no
+        # calls that its cost would not bring it.
+        self._ensures_calls = cause is Cause.STARTED
 
     def share(self, now_s: float) -> float:
         """Returns the present share of an even part of the calls, 0 to 1."""
