--- a/src/geraniumstair/gateway/_configuration_reader.py
+++ b/src/geraniumstair/gateway/_configuration_reader.py
@@ -151,7 +151,7 @@
         if isinstance(reply, result.Err):
             return False
         if self._is_known(reply.ok_value):
-            self._freshness.record(mirror.FreshnessSource.KEY, sent_s)
+            self._freshness.record(mirror.FreshnessSource.CONFIGURATION, sent_s)
             return True
         # The mirror's own way applies a change together with those before it,
         # so that its position stays true for the peers that rely on it.
--- a/src/geraniumstair/listeners/_connection.py
+++ b/src/geraniumstair/listeners/_connection.py
@@ -87,7 +87,7 @@
         context: What all connections share.
 
     Attributes:
-        account: The memory that it holds.
+        memory: The memory that it holds.
     """
 
     def __init__(
@@ -103,14 +103,14 @@
         self._awaits_head = True
         # Memory of the request and the response, without received bytes.
         self._message_bytes = 0
-        self.account = _memory.Account(context.budget, self._scope.cancel)
+        self.memory = _memory.MemoryUsage(context.budget, self._scope.cancel)
 
     @property
     def closing(self) -> bool:
         """The connection has to close after its present response."""
         return self._context.closing
 
-    def describe(self) -> _eviction.Candidate[_memory.Account]:
+    def describe(self) -> _eviction.Candidate[_memory.MemoryUsage]:
         """Returns what decides whether this connection is dropped."""
         now_s = trio.current_time()
         if self._phase == _eviction.Phase.IDLE:
@@ -118,7 +118,7 @@
         else:
             waited_s = self._transport.pace.waited_s(now_s)
         return _eviction.Candidate(
-            self.account, self._phase, self.account.held_bytes, waited_s
+            self.memory, self._phase, self.memory.held_bytes, waited_s
         )
 
     def limit_idle_wait(self, deadline_s: float) -> None:
@@ -128,7 +128,7 @@
 
     async def serve(self) -> None:
         """Serves requests until the connection ends."""
-        self._update_account()
+        self._update_memory()
         try:
             with self._scope:
                 while await self._serve_next():
@@ -137,7 +137,7 @@
         except (_transport.ClientGone, _transport.TimedOut):
             pass
         finally:
-            self.account.set_held(0)
+            self.memory.set_held(0)
 
     async def _serve_next(self) -> bool:
         """Serves one request; returns whether another one may follow."""
@@ -197,7 +197,7 @@
                 ).inc()
                 return None
             transport.buffer += await transport.receive()
-            self._update_account()
+            self._update_memory()
 
     async def _reserve_head(self, data: bytes) -> None:
         """Reserves the memory of a head before it is parsed."""
@@ -206,8 +206,8 @@
         if needed_bytes > _MAX_FREE_HEAD_BYTES:
             # Many heads may arrive before any connection can be dropped.
             self._message_bytes = len(data)
-            self._update_account()
-            self._message_bytes += await self.account.reserve(
+            self._update_memory()
+            self._message_bytes += await self.memory.reserve(
                 needed_bytes - len(data)
             )
 
@@ -242,14 +242,14 @@
         transport = self._transport
         transport.buffer = reader.feed(transport.buffer)
         self._message_bytes += reader.held_bytes
-        self._update_account()
+        self._update_memory()
         body_bytes = reader.held_bytes
         if not reader.complete:
             body_bytes = max(
                 head.length or limits.max_body_bytes, _body.BLOCK_BYTES
             )
         # The node holds the body, a copy for an endpoint, and the response.
-        self._message_bytes += await self.account.reserve(
+        self._message_bytes += await self.memory.reserve(
             2 * body_bytes
             - reader.held_bytes
             + self._context.expected_response_bytes
@@ -283,7 +283,7 @@
                 await self.write([_exchange.encode_head(500, _EMPTY_FIELDS)])
             return False
         self._message_bytes = 0
-        self._update_account()
+        self._update_memory()
         return exchange.keep_alive and not self._gone
 
     async def write(self, parts: list[bytes]) -> None:
@@ -296,7 +296,7 @@
         self._message_bytes = size_bytes
         self._phase = _eviction.Phase.TRANSFER
         self._transport.pace = _pace.TransferPace()
-        self._update_account()
+        self._update_memory()
         try:
             for part in parts:
                 await self._transport.send(part)
@@ -323,7 +323,7 @@
             except _transport.ClientGone:
                 self._gone = True
                 return
-            self._update_account()
+            self._update_memory()
         # Further requests wait in the kernel until this one is answered.
         await trio.sleep_forever()
 
@@ -336,14 +336,14 @@
         self._transport.buffer = b""
         await self.write([_exchange.encode_head(refusal.status, _EMPTY_FIELDS)])
         self._message_bytes = 0
-        self._update_account()
+        self._update_memory()
         if not self._gone:
             await self._transport.discard_rest(
                 _DISCARD_LIMIT_S, _DISCARD_LIMIT_BYTES
             )
 
-    def _update_account(self) -> None:
-        self.account.set_held(
+    def _update_memory(self) -> None:
+        self.memory.set_held(
             _limits.CONNECTION_BYTES
             + len(self._transport.buffer)
             + self._message_bytes
--- a/src/geraniumstair/listeners/_memory.py
+++ b/src/geraniumstair/listeners/_memory.py
@@ -31,10 +31,10 @@
 # dropped, so that a crowd does not take a stall for each of its members.
 _FREED_SHARE = 0.125
 
-Candidates = Callable[[], Iterable[_eviction.Candidate["Account"]]]
+Candidates = Callable[[], Iterable[_eviction.Candidate["MemoryUsage"]]]
 
 
-class Account:
+class MemoryUsage:
     """The memory of one connection.
 
     Args:
@@ -79,7 +79,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class _Waiter:
-    account: Account
+    usage: MemoryUsage
     added_bytes: int
     since_s: float
     granted: trio.Event
@@ -138,12 +138,12 @@
         """Number of connections that wait for memory."""
         return len(self._small.waiters) + len(self._large.waiters)
 
-    def change(self, change_bytes: int, account: Account) -> None:
+    def change(self, change_bytes: int, usage: MemoryUsage) -> None:
         """Adds to the memory in use, or subtracts from it."""
-        self._add(change_bytes, account)
+        self._add(change_bytes, usage)
         if change_bytes < 0:
             self._grant()
-        elif not account.dropped:
+        elif not usage.dropped:
             excess_bytes = self.used_bytes - self._freeing_bytes
             excess_bytes -= self._max_bytes
             if excess_bytes > 0:
@@ -153,12 +153,12 @@
                     )
                 )
 
-    async def reserve(self, added_bytes: int, account: Account) -> int:
+    async def reserve(self, added_bytes: int, usage: MemoryUsage) -> int:
         """Waits until memory is free, and adds it to that in use.
 
         Args:
             added_bytes: Memory that the request needs until it is answered.
-            account: Its connection.
+            usage: Its connection.
 
         Returns:
             The bytes that were added. They are less than those asked for if
@@ -167,11 +167,9 @@
         lane = self._small if added_bytes <= _MAX_SMALL_BYTES else self._large
         added_bytes = min(added_bytes, lane.max_bytes // 2)
         if not lane.waiters and self._fits(added_bytes, lane):
-            self._hold(added_bytes, account)
+            self._hold(added_bytes, usage)
             return added_bytes
-        waiter = _Waiter(
-            account, added_bytes, trio.current_time(), trio.Event()
-        )
+        waiter = _Waiter(usage, added_bytes, trio.current_time(), trio.Event())
         lane.waiters.append(waiter)
         self._has_waiters.set()
         try:
@@ -199,7 +197,7 @@
 
     def _relieve(self, lane: _Lane, deadlock: bool) -> None:
         first = lane.waiters[0]
-        others = [c for c in self._candidates() if c.key is not first.account]
+        others = [c for c in self._candidates() if c.key is not first.usage]
         if not others:
             # A single request may exceed the share.
             self._grant_first(lane)
@@ -215,30 +213,30 @@
             )
         )
 
-    def _candidates(self) -> list[_eviction.Candidate[Account]]:
+    def _candidates(self) -> list[_eviction.Candidate[MemoryUsage]]:
         return [c for c in self._list_candidates() if not c.key.dropped]
 
-    def drop(self, accounts: Iterable[Account]) -> int:
+    def drop(self, selected: Iterable[MemoryUsage]) -> int:
         """Ends connections; returns the bytes that become free."""
         freed_bytes = 0
-        for account in accounts:
-            if not account.dropped:
-                freed_bytes += account.held_bytes
-                account.drop()
+        for usage in selected:
+            if not usage.dropped:
+                freed_bytes += usage.held_bytes
+                usage.drop()
         self._freeing_bytes += freed_bytes
         return freed_bytes
 
-    def _drop_for_memory(self, accounts: list[Account]) -> None:
-        if accounts:
-            self._report_dropped(len(accounts), self.drop(accounts))
+    def _drop_for_memory(self, selected: list[MemoryUsage]) -> None:
+        if selected:
+            self._report_dropped(len(selected), self.drop(selected))
 
-    def _hold(self, added_bytes: int, account: Account) -> None:
-        account.held_bytes += added_bytes
-        self._add(added_bytes, account)
+    def _hold(self, added_bytes: int, usage: MemoryUsage) -> None:
+        usage.held_bytes += added_bytes
+        self._add(added_bytes, usage)
 
-    def _add(self, added_bytes: int, account: Account) -> None:
+    def _add(self, added_bytes: int, usage: MemoryUsage) -> None:
         self.used_bytes += added_bytes
-        if account.dropped:
+        if usage.dropped:
             self._freeing_bytes += added_bytes
 
     def _fits(self, added_bytes: int, lane: _Lane) -> bool:
@@ -247,7 +245,7 @@
     def _grant(self) -> None:
         for lane in (self._small, self._large):
             while lane.waiters:
-                if lane.waiters[0].account.dropped:
+                if lane.waiters[0].usage.dropped:
                     lane.waiters.popleft()
                 elif self._fits(lane.waiters[0].added_bytes, lane):
                     self._grant_first(lane)
@@ -256,6 +254,6 @@
 
     def _grant_first(self, lane: _Lane) -> None:
         waiter = lane.waiters.popleft()
-        self._hold(waiter.added_bytes, waiter.account)
+        self._hold(waiter.added_bytes, waiter.usage)
         lane.last_grant_s = trio.current_time()
         waiter.granted.set()
--- a/src/geraniumstair/listeners/_server.py
+++ b/src/geraniumstair/listeners/_server.py
@@ -227,17 +227,17 @@
 
     def _drop_for_descriptors(self) -> None:
         count = max(1, int(self._resources.max_connections * _DROPPED_SHARE))
-        accounts = _eviction.select_for_descriptors(
+        selected = _eviction.select_for_descriptors(
             [c for c in self._list_candidates() if not c.key.dropped], count
         )
-        self.budget.drop(accounts)
-        if accounts:
+        self.budget.drop(selected)
+        if selected:
             reason = _metrics.DropReason.DESCRIPTORS
-            self.metrics.dropped.labels(reason).inc(len(accounts))
+            self.metrics.dropped.labels(reason).inc(len(selected))
             _LOG.warning(
                 "listeners: dropped connections to accept new ones",
                 extra=observe.fields(
-                    dropped=len(accounts), connections=len(self._connections)
+                    dropped=len(selected), connections=len(self._connections)
                 ),
             )
 
@@ -255,7 +255,7 @@
 
     def _list_candidates(
         self,
-    ) -> list[_eviction.Candidate[_memory.Account]]:
+    ) -> list[_eviction.Candidate[_memory.MemoryUsage]]:
         return [c.describe() for c in self._connections]
 
     def _report_dropped(self, count: int, freed_bytes: int) -> None:
--- a/src/geraniumstair/mirror/_freshness.py
+++ b/src/geraniumstair/mirror/_freshness.py
@@ -17,7 +17,7 @@
     NONE = "none"
     READ = "read of the store"
     WATCH = "watch of the store"
-    KEY = "read of the configuration"
+    CONFIGURATION = "read of the configuration"
     PEER = "peer"
 
 
--- a/tests/test_listeners_eviction.py
+++ b/tests/test_listeners_eviction.py
@@ -130,38 +130,40 @@
     """Accounts of a budget, each with its phase and wait."""
 
     def __init__(self, max_bytes: int) -> None:
-        self.waited_s: dict[_memory.Account, float] = {}
-        self.dropped: list[_memory.Account] = []
+        self.waited_s: dict[_memory.MemoryUsage, float] = {}
+        self.dropped: list[_memory.MemoryUsage] = []
         self.budget = _memory.MemoryBudget(
             max_bytes, self._list, lambda count, freed_bytes: None
         )
 
-    def _list(self) -> list[_eviction.Candidate[_memory.Account]]:
+    def _list(self) -> list[_eviction.Candidate[_memory.MemoryUsage]]:
         return [
             _eviction.Candidate(
-                account,
+                usage,
                 _eviction.Phase.TRANSFER,
-                account.held_bytes,
+                usage.held_bytes,
                 waited_s,
             )
-            for account, waited_s in self.waited_s.items()
+            for usage, waited_s in self.waited_s.items()
         ]
 
-    def add(self, held_bytes: int, waited_s: float = 0.0) -> _memory.Account:
+    def add(
+        self, held_bytes: int, waited_s: float = 0.0
+    ) -> _memory.MemoryUsage:
         """Adds a connection that frees its memory when it is dropped."""
 
         def drop() -> None:
-            self.dropped.append(account)
+            self.dropped.append(usage)
 
-        account = _memory.Account(self.budget, drop)
-        self.waited_s[account] = waited_s
-        account.set_held(held_bytes)
-        return account
+        usage = _memory.MemoryUsage(self.budget, drop)
+        self.waited_s[usage] = waited_s
+        usage.set_held(held_bytes)
+        return usage
 
-    def end(self, account: _memory.Account) -> None:
+    def end(self, usage: _memory.MemoryUsage) -> None:
         """Ends a connection."""
-        del self.waited_s[account]
-        account.set_held(0)
+        del self.waited_s[usage]
+        usage.set_held(0)
 
 
 class MemoryBudgetTest(unittest.TestCase):
@@ -243,8 +245,8 @@
         async def test(*, drop_first: bool) -> None:
             budget = _memory.MemoryBudget(1000, list, lambda count, freed: None)
             scope = trio.CancelScope()
-            holder = _memory.Account(budget, lambda: None)
-            waiter = _memory.Account(budget, scope.cancel)
+            holder = _memory.MemoryUsage(budget, lambda: None)
+            waiter = _memory.MemoryUsage(budget, scope.cancel)
             holder.set_held(700)
 
             async def wait() -> None:
@@ -266,7 +268,7 @@
             with self.subTest(drop_first=drop_first):
                 trio.run(functools.partial(test, drop_first=drop_first))
 
-    def test_accounts_balance_after_connections_were_dropped(self) -> None:
+    def test_the_bound_holds_after_connections_were_dropped(self) -> None:
         async def test(connections, nursery) -> None:
             silent = connections.add(100, 9.0)
             connections.budget.drop([silent])
