Open the listener for callers after the imports again

Connections that wait in the backlog of a starting node for half a second would be tried at a running node at once if they were refused, and all of them reach a node without open connections in one moment.

--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -7,7 +7,6 @@
 import logging
 import random
 import signal
-import socket
 import time
 from typing import Any
 from typing import Protocol
@@ -143,7 +142,6 @@
         settings: Settings at the start.
         adapters: Adapters to the platform.
         load_settings: Reads the current settings; raises `SettingsError`.
-        callers_listener: Listening socket for callers; None opens one.
     """
 
     def __init__(
@@ -151,9 +149,7 @@
         settings: GatewaySettings,
         adapters: GatewayAdapters,
         load_settings: Callable[[], GatewaySettings],
-        callers_listener: socket.socket | None = None,
     ) -> None:
-        self._callers_listener = callers_listener
         self._settings = settings
         self._adapters = adapters
         self._load_settings = load_settings
@@ -408,13 +404,8 @@
         )
         self._state_dump.register("callers", server.dump)
         address = self._settings.callers
-        listener = (
-            await listeners.open_socket(address.address, address.port)
-            if self._callers_listener is None
-            else listeners.adopt_socket(self._callers_listener)
-        )
         await server.serve(
-            listener,
+            await listeners.open_socket(address.address, address.port),
             self._lifecycle.wait_for_listener_close,
             graceful_timeout_s=self._lifecycle.drain_timeout_s,
         )
--- a/src/geraniumstair/listeners/__init__.py
+++ b/src/geraniumstair/listeners/__init__.py
@@ -12,7 +12,6 @@
 from geraniumstair.listeners._metrics import ListenerMetrics
 from geraniumstair.listeners._server import GRACEFUL_TIMEOUT_S
 from geraniumstair.listeners._server import HttpServer
-from geraniumstair.listeners._server import adopt_socket
 from geraniumstair.listeners._server import open_socket
 
 __all__ = [
@@ -21,7 +20,6 @@
     "ListenerMetrics",
     "RequestLimits",
     "ResourceLimits",
-    "adopt_socket",
     "derive_resource_limits",
     "open_socket",
     "serve_lifespan",
--- a/src/geraniumstair/listeners/_server.py
+++ b/src/geraniumstair/listeners/_server.py
@@ -6,7 +6,6 @@
 import logging
 import math
 import select
-import socket
 from typing import Any
 
 import trio
@@ -54,12 +53,6 @@
     return listeners[0]
 
 
-def adopt_socket(listening: socket.socket) -> trio.SocketListener:
-    """Returns a listener for a socket that is bound and listening already."""
-    listening.setblocking(False)
-    return trio.SocketListener(trio.socket.from_stdlib_socket(listening))
-
-
 class HttpServer:
     """Serves an ASGI application at one listener.
 
--- a/src/geraniumstair/platform/_process.py
+++ b/src/geraniumstair/platform/_process.py
@@ -1,10 +1,8 @@
 """The process of one node on the users' platform."""
 
 import gc
-import ipaddress
 import logging
 import os
-import socket
 import sys
 
 import trio
@@ -12,16 +10,16 @@
 from geraniumstair import errors
 from geraniumstair import gateway
 from geraniumstair import observe
-from geraniumstair import peers
 from geraniumstair import store
 from geraniumstair.platform import _decoder
-from geraniumstair.platform import _early_listener
 from geraniumstair.platform import _http
 from geraniumstair.platform import _settings
 from geraniumstair.platform import _store
 from geraniumstair.platform import _usage_api
 
 _LOG = logging.getLogger("geraniumstair.platform")
+# Environment variable with the path of the settings file.
+SETTINGS_VARIABLE = "GERANIUMSTAIR_BOOT"
 INVALID_SETTINGS_EXIT_STATUS = 2
 # Maximum number of lines with the same message that are logged in ten seconds.
 # It suffices to log each failed request of a small site, and bounds the number
@@ -29,7 +27,7 @@
 LOG_BURST_LINES = 200
 
 
-async def _run(path: str, listener: socket.socket | None) -> None:
+async def _run(path: str) -> None:
     settings = _settings.load_settings(path)
     metrics = store.StoreMetrics(observe.process_metrics())
     adapters = gateway.GatewayAdapters(
@@ -45,12 +43,8 @@
     def load_gateway_settings() -> gateway.GatewaySettings:
         return _settings.build_gateway_settings(_settings.load_settings(path))
 
-    node_settings = load_gateway_settings()
     await gateway.GatewayNode(
-        node_settings,
-        adapters,
-        load_gateway_settings,
-        _select_listener(listener, node_settings.callers),
+        load_gateway_settings(), adapters, load_gateway_settings
     ).run()
 
 
@@ -63,28 +57,8 @@
     return _usage_api.UsageApi(address, settings.node_id)
 
 
-def _select_listener(
-    listener: socket.socket | None, callers: peers.PeerAddress
-) -> socket.socket | None:
-    """Returns the listener if it has the address that is in force now."""
-    if listener is None:
-        return None
-    address, port = listener.getsockname()[:2]
-    if ipaddress.ip_address(address) == ipaddress.ip_address(
-        callers.address
-    ) and (port == callers.port):
-        return listener
-    _LOG.info("platform: the address for callers changed during the start")
-    listener.close()
-    return None
-
-
-def run(listener: socket.socket | None = None) -> int:
-    """Runs a node; returns the exit status.
-
-    Args:
-        listener: Listening socket for callers; None opens one.
-    """
+def run() -> int:
+    """Runs a node; returns the exit status."""
     handler = observe.NonBlockingHandler(sys.stdout.fileno())
     observe.configure_logging(
         "json", "INFO", handler=handler, burst=LOG_BURST_LINES
@@ -95,11 +69,11 @@
         "Log lines that were dropped because nobody read them in time.",
         lambda: handler.dropped_lines,
     )
-    path = os.environ.get(_early_listener.SETTINGS_VARIABLE, "")
+    path = os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
         _LOG.error(
             "platform: environment variable %s is not set",
-            _early_listener.SETTINGS_VARIABLE,
+            SETTINGS_VARIABLE,
         )
         return INVALID_SETTINGS_EXIT_STATUS
     # Modules and classes exist until the process ends, so the garbage
@@ -107,7 +81,7 @@
     gc.freeze()
     gc.enable()
     try:
-        trio.run(_run, path, listener)
+        trio.run(_run, path)
     except errors.SettingsError as error:
         _LOG.error("platform: %s", error)
         return INVALID_SETTINGS_EXIT_STATUS
