Call shards for another node by the terms of its search

Cause: a node that calls shards for another one looked the path up in its own routes and cut its merged records to the TopK of that route. Its version may be newer, and the asking node merges by the older one. MaxAttempts, TimeoutMs, LatencyGoalMs, the priority of the route and that of the account came from its own configuration as well.

Ruled out: a merge by another version than that of the search's route (the wrong bodies have 50 records), a reply to another attempt (each named part answers the attempt), and calls that are not delegated (no wrong answer from the zone that has endpoints of all shards).

A request for parts now states these terms, and the receiver takes none of them from its own routes. So it may also have an older version; it declines only if its own route of the path lacks the shards, as it has no limits for their services then. Nodes of an earlier build state no terms and are declined. `request ended` states the version of the route.

The messages are encoded and decoded in one module, `_parts`. The test of the priority of accounts now checks the route by which the shards are called, for a node that does not know the accounts.

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -705,10 +705,10 @@
     Unique among the sender's requests for parts.
     """
     version: Annotated[
-        int, Meta(description="Version of the routes that the sender has in force.")
+        int, Meta(description="Version of the configuration that the search follows.")
     ]
     """
-    Version of the routes that the sender has in force.
+    Version of the configuration that the search follows.
     """
     shards: Annotated[list[str], Meta(description="Services of the shards.")]
     """
@@ -747,6 +747,54 @@
     """
     Name of the caller's account; empty without an account.
     """
+    route: (
+        Annotated[
+            str,
+            Meta(
+                description="Name of the route of the search. This and the fields below are the terms of that route."
+            ),
+        ]
+        | UnsetType
+    ) = ""
+    """
+    Name of the route of the search. This and the fields below are the terms of that route.
+    """
+    max_attempts: (
+        Annotated[
+            int,
+            Meta(
+                description="Endpoints of each shard that the request may run on; 0 from a node of an earlier build."
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Endpoints of each shard that the request may run on; 0 from a node of an earlier build.
+    """
+    timeout_ms: (
+        Annotated[
+            float, Meta(description="Longest time that the caller is kept waiting.")
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Longest time that the caller is kept waiting.
+    """
+    latency_goal_ms: float | UnsetType = 0
+    priority: (
+        Annotated[
+            float,
+            Meta(description="Priority of the route, or of the caller's account."),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Priority of the route, or of the caller's account.
+    """
+    top_k: Annotated[int, Meta(description="Records of the answer.")] | UnsetType = 0
+    """
+    Records of the answer.
+    """
 
 
 class PartsEnd(Message):
--- a/src/geraniumstair/forward/_context.py
+++ b/src/geraniumstair/forward/_context.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable
 import dataclasses
 
+from geraniumstair import routing
 from geraniumstair.forward import _budget
 from geraniumstair.forward import _call
 from geraniumstair.forward import _delegation
 from geraniumstair.forward import _endpoints
 from geraniumstair.forward import _grants
 from geraniumstair.forward import _metrics
+from geraniumstair.forward import _parts
 from geraniumstair.forward import _suspects
 from geraniumstair.forward import _timing
 from geraniumstair.forward import _usage
@@ -48,23 +50,24 @@
     def start_group(
         self,
         delegation: _delegation.Delegation,
-        group: _delegation.ShardGroup,
+        group: _parts.ShardGroup,
         request: _call.CallerRequest,
-        on_reply: Callable[[_delegation.GroupReply], None],
+        route: routing.Route,
+        on_reply: Callable[[_parts.GroupReply], None],
     ) -> _delegation.PendingGroup | None:
         """Asks another node to call shards; see `Delegation.start`."""
         runs = self.runs
         if runs is None:
             return delegation.start(
-                group, request, self.margins.hop_ms, on_reply
+                group, request, route, self.margins.hop_ms, on_reply
             )
 
-        def complete(reply: _delegation.GroupReply) -> None:
+        def complete(reply: _parts.GroupReply) -> None:
             runs.end_group(group, reply)
             on_reply(reply)
 
         pending = delegation.start(
-            group, request, self.margins.hop_ms, complete
+            group, request, route, self.margins.hop_ms, complete
         )
         if pending is not None:
             runs.add_group(group)
--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -36,6 +36,7 @@
 from geraniumstair.forward import _call
 from geraniumstair.forward import _delegation_nodes
 from geraniumstair.forward import _endpoints
+from geraniumstair.forward import _parts
 from geraniumstair.forward import _sharing
 
 _LOG = logging.getLogger(__name__)
@@ -86,56 +87,13 @@
         """Sets the handler of a message type."""
 
 
-class Routes(Protocol):
-    """Provides the routes in force."""
-
-    table: routing.RouteTable | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ShardGroup:
-    """Shards that one node is asked to call."""
-
-    node_id: str
-    shards: tuple[str, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class GroupReply:
-    """Result of asking another node to call a group of shards.
-
-    Attributes:
-        signatures: Signatures of the parts by shard.
-        records: The greatest records of these parts.
-        failure: Why there are no parts; empty if there are.
-        may_have_run: The node may have called the shards.
-        acknowledged: False if nothing arrived from the node after the request
-            was sent. The node may still make its first calls, but is sent
-            a message that stops repeats.
-        tried: Endpoints that may have run the request, by shard. A shard is
-            absent if the node did not report its endpoints.
-        ended: Endpoints that ended while they ran the request, with their
-            starts.
-    """
-
-    signatures: Mapping[str, bytes]
-    records: bytes
-    failure: str = ""
-    may_have_run: bool = True
-    acknowledged: bool = True
-    tried: Mapping[str, frozenset[str]] = dataclasses.field(
-        default_factory=dict
-    )
-    ended: frozenset[str] = frozenset()
-
-
 class PendingGroup:
     """A request to call a group of shards that has no reply yet."""
 
     def __init__(
         self,
         delegation: "Delegation",
-        group: ShardGroup,
+        group: _parts.ShardGroup,
         parts_id: int,
         started_s: float,
     ) -> None:
@@ -168,7 +126,6 @@
         availability_zone: Availability zone of this node.
         pool: The endpoints.
         network: Streams to peers.
-        routes: Provides the routes in force.
         rng: Spreads the groups over the nodes of a zone.
     """
 
@@ -178,14 +135,12 @@
         availability_zone: str,
         pool: _endpoints.EndpointPool,
         network: Network,
-        routes: Routes,
         rng: random.Random,
     ) -> None:
         self._node_id = node_id
         self._zone = availability_zone
         self._pool = pool
         self._network = network
-        self._routes = routes
         self._rng = rng
         self._nodes: Mapping[str, _delegation_nodes.NodeInfo] = {}
         self._avoid_until_s: dict[str, float] = {}
@@ -207,7 +162,7 @@
         )
         self._plans.clear()
 
-    def plan_groups(self, route: routing.Route) -> list[ShardGroup]:
+    def plan_groups(self, route: routing.Route) -> list[_parts.ShardGroup]:
         """Returns the groups of shards that other nodes should call."""
         now_s = trio.current_time()
         cached = self._plans.get(route.name)
@@ -226,28 +181,27 @@
             if node_id is not None and node_id != self._node_id:
                 shards_by_node.setdefault(node_id, []).extend(group.shards)
         return [
-            ShardGroup(node_id, tuple(shards))
+            _parts.ShardGroup(node_id, tuple(shards))
             for node_id, shards in shards_by_node.items()
         ]
 
     def start(
         self,
-        group: ShardGroup,
+        group: _parts.ShardGroup,
         request: _call.CallerRequest,
+        route: routing.Route,
         hop_ms: float,
-        on_reply: Callable[[GroupReply], None],
+        on_reply: Callable[[_parts.GroupReply], None],
     ) -> PendingGroup | None:
         """Asks a node for parts; returns None if nothing was sent.
 
         Args:
             group: The shards and the node.
             request: The caller's request.
+            route: The route of the search, with the caller's priority.
             hop_ms: Time for the reply to come back and be merged.
             on_reply: Called once, unless the request is aborted before.
         """
-        table = self._routes.table
-        if table is None:
-            return None
         pending = PendingGroup(
             self, group, next(self._parts_ids), trio.current_time()
         )
@@ -256,7 +210,9 @@
             pending.cancel_call = None
             on_reply(self._complete(pending, outcome))
 
-        message = _encode_request(request, pending, hop_ms, table.version)
+        message = _parts.encode_request(
+            request, route, group, pending.parts_id, hop_ms
+        )
         started = self._network.start_call(group.node_id, message, complete)
         if isinstance(started, result.Err):
             self._avoid_node(group.node_id, started.err_value.detail)
@@ -293,14 +249,16 @@
         if failed:
             self._avoid_node(node_id, "no answer in time")
 
-    def _complete(self, pending: PendingGroup, outcome: Any) -> GroupReply:
+    def _complete(
+        self, pending: PendingGroup, outcome: Any
+    ) -> _parts.GroupReply:
         node_id = pending.group.node_id
         self._pending_counts[node_id] -= 1
         took_ms = (trio.current_time() - pending.started_s) * 1000
         latency_ms = self._latency_ms.get(node_id, INITIAL_LATENCY_MS)
         latency_ms += LATENCY_WEIGHT * (took_ms - latency_ms)
         self._latency_ms[node_id] = latency_ms
-        reply = _decode_reply(pending.group, outcome)
+        reply = _parts.decode_reply(pending.group, outcome)
         if reply.failure:
             self._avoid_node(node_id, reply.failure)
         else:
@@ -420,58 +378,3 @@
     zone: str
     key: str
     shards: list[str]
-
-
-def _encode_request(
-    request: _call.CallerRequest,
-    pending: PendingGroup,
-    hop_ms: float,
-    version: int,
-) -> messages.PartsRequest:
-    elapsed_ms = (trio.current_time() - request.received_s) * 1000
-    remaining_ms = -1.0
-    if request.remaining_ms is not None:
-        remaining_ms = max(0.0, request.remaining_ms - elapsed_ms)
-    return messages.PartsRequest(
-        parts_id=pending.parts_id,
-        version=version,
-        shards=list(pending.group.shards),
-        elapsed_ms=elapsed_ms + hop_ms,
-        remaining_ms=remaining_ms,
-        request_id=request.request_id,
-        method=request.method,
-        target=request.target,
-        host=request.host,
-        path=request.path,
-        fields=[list(field) for field in request.fields],
-        body=request.body,
-        has_body=request.has_body,
-        account=request.account,
-    )
-
-
-def _decode_reply(group: ShardGroup, outcome: Any) -> GroupReply:
-    if isinstance(outcome, result.Err):
-        failure = outcome.err_value
-        return GroupReply({}, b"", failure.detail, failure.sent)
-    reply = outcome.ok_value
-    if not isinstance(reply, messages.PartsReply):
-        return GroupReply({}, b"", "the reply has an unexpected type")
-    tried = {
-        shard: frozenset(endpoints)
-        for shard, endpoints in zip(group.shards, reply.tried, strict=False)
-    }
-    ended = frozenset(reply.ended or ())
-    if reply.declined:
-        return GroupReply(
-            {}, b"", reply.declined, reply.ran, tried=tried, ended=ended
-        )
-    valid = range(len(group.shards))
-    signatures = {
-        group.shards[position]: signature
-        for position, signature in zip(
-            reply.answered, reply.signatures, strict=False
-        )
-        if position in valid
-    }
-    return GroupReply(signatures, reply.records, tried=tried, ended=ended)
--- a/src/geraniumstair/forward/_parts_server.py
+++ b/src/geraniumstair/forward/_parts_server.py
@@ -10,6 +10,7 @@
 from geraniumstair._generated import messages
 from geraniumstair.forward import _call
 from geraniumstair.forward import _delegation
+from geraniumstair.forward import _parts
 from geraniumstair.forward import _result
 from geraniumstair.forward import _shard
 
@@ -18,6 +19,12 @@
 MAX_EARLY_ENDS = 256
 
 
+class Routes(Protocol):
+    """Provides the routes in force."""
+
+    table: routing.RouteTable | None
+
+
 class Gatherer(Protocol):
     """Calls shards from this node."""
 
@@ -52,7 +59,7 @@
     def __init__(
         self,
         network: _delegation.Network,
-        routes: _delegation.Routes,
+        routes: Routes,
         gatherer: Gatherer,
         lifecycle: Lifecycle,
     ) -> None:
@@ -69,23 +76,23 @@
     async def _on_request(
         self, sender: str, message: messages.PartsRequest
     ) -> messages.PartsReply:
-        route = self._find_route(message)
-        if isinstance(route, str):
-            return _decline(route, ran=False)
+        declined = self._find_reason_to_decline(message)
+        if declined is not None:
+            return declined
         key = (sender, message.parts_id)
         if key in self._early_ends:
             self._early_ends.remove(key)
-            return _decline("ended by the sender", ran=False)
-        reply = _decline("cancelled by the sender", ran=True)
+            return _parts.decline("ended by the sender", ran=False)
+        reply = _parts.decline("cancelled by the sender", ran=True)
         with trio.CancelScope() as scope:
             self._scopes[key] = scope
             try:
                 outcome, shard_outcomes = await self._gatherer.gather(
-                    self._decode_request(message),
-                    route,
+                    _parts.decode_request(message),
+                    _parts.decode_route(message),
                     tuple(message.shards),
                 )
-                reply = _encode_reply(outcome, shard_outcomes)
+                reply = _parts.encode_reply(outcome, shard_outcomes)
             finally:
                 del self._scopes[key]
         return reply
@@ -98,88 +105,25 @@
         else:
             self._early_ends.append(key)
 
-    def _find_route(
+    def _find_reason_to_decline(
         self, message: messages.PartsRequest
-    ) -> routing.Route | str:
-        """Returns the route, or the reason why the request is declined."""
+    ) -> messages.PartsReply | None:
+        """Returns the reply that declines a request; None to serve it.
+
+        The versions of the two nodes may differ. The sender's decides what the
+        caller gets. This node's own routes only show whether it has the limits
+        of the shards' endpoints.
+        """
         if self._lifecycle.stopping:
-            return "the node is stopping"
-        table = self._routes.table
-        if table is None or table.version < message.version:
-            return "the node has an older version of the routes"
-        route = table.match(message.host, message.path)
-        # All parts of an answer must come from the shards of one route version.
-        if route is None or not set(message.shards) <= set(route.shards):
-            return "the route or its shards have changed"
-        return route
-
-    def _decode_request(
-        self, message: messages.PartsRequest
-    ) -> _call.CallerRequest:
-        elapsed_ms = message.elapsed_ms
-        account_name = message.account or ""
+            return _parts.decline("the node is stopping", ran=False)
+        if not _parts.has_terms(message):
+            return _parts.decline("the request has no terms", ran=False)
         table = self._routes.table
-        account = table.find_account(account_name) if table else None
-        remaining_ms = None
-        if message.remaining_ms >= 0:
-            remaining_ms = message.remaining_ms + elapsed_ms
-        return _call.CallerRequest(
-            request_id=message.request_id,
-            method=message.method,
-            target=message.target,
-            host=message.host,
-            path=message.path,
-            fields=[(field[0], field[1]) for field in message.fields],
-            body=message.body,
-            has_body=message.has_body,
-            received_s=trio.current_time() - elapsed_ms / 1000,
-            remaining_ms=remaining_ms,
-            account=account_name,
-            priority=account.priority if account else None,
-        )
-
-
-def _decline(
-    reason: str,
-    *,
-    ran: bool,
-    tried: list[list[str]] | None = None,
-    ended: list[str] | None = None,
-) -> messages.PartsReply:
-    return messages.PartsReply(
-        declined=reason,
-        ran=ran,
-        answered=[],
-        signatures=[],
-        records=b"",
-        tried=tried or [],
-        ended=ended or [],
-    )
-
-
-def _encode_reply(
-    outcome: _result.ForwardResult,
-    shard_outcomes: Sequence[_shard.ShardOutcome],
-) -> messages.PartsReply:
-    # The sender needs the endpoints of those shards only that it may call.
-    tried = [
-        [] if shard.answered else sorted(shard.tried)
-        for shard in shard_outcomes
-    ]
-    ended = sorted({e for shard in shard_outcomes for e in shard.ended})
-    if isinstance(outcome, _result.SearchResult):
-        return messages.PartsReply(
-            declined="",
-            ran=True,
-            answered=[
-                i for i, shard in enumerate(shard_outcomes) if shard.answered
-            ],
-            signatures=list(outcome.signatures),
-            records=outcome.records,
-            tried=tried,
-            ended=ended,
-        )
-    if isinstance(outcome, _result.Refused):
-        ran = not outcome.not_run
-        return _decline(outcome.detail, ran=ran, tried=tried, ended=ended)
-    return _decline("the route is not a search", ran=True)
+        route = table and table.match(message.host, message.path)
+        if not route or not set(message.shards) <= set(route.shards):
+            return _parts.decline(
+                "the shards differ between versions "
+                f"{message.version} and {table.version if table else None}",
+                ran=False,
+            )
+        return None
--- a/src/geraniumstair/forward/_report.py
+++ b/src/geraniumstair/forward/_report.py
@@ -64,6 +64,7 @@
         extra=observe.fields(
             request_id=request.request_id.decode("latin-1"),
             route=route.name,
+            version=route.version,
             outcome=outcome,
             took_ms=round(took_s * 1000, 1),
             latency_goal_ms=route.latency_goal_ms,
--- a/src/geraniumstair/forward/_search_groups.py
+++ b/src/geraniumstair/forward/_search_groups.py
@@ -10,6 +10,7 @@
 
 from geraniumstair.forward import _call
 from geraniumstair.forward import _delegation
+from geraniumstair.forward import _parts
 from geraniumstair.forward import _search_calls
 from geraniumstair.forward import _search_ends
 from geraniumstair.forward import _search_state
@@ -47,7 +48,7 @@
         self._ends = ends
         self._delegation = delegation
         self._on_changed = on_changed
-        self._planned: Sequence[_delegation.ShardGroup] = ()
+        self._planned: Sequence[_parts.ShardGroup] = ()
         self._pending: list[_delegation.PendingGroup] = []
         self.asked_nodes: list[str] = []
 
@@ -81,7 +82,7 @@
     def _start_group(
         self,
         delegation: _delegation.Delegation,
-        group: _delegation.ShardGroup,
+        group: _parts.ShardGroup,
         now_s: float,
     ) -> None:
         state = self._state
@@ -91,6 +92,7 @@
             delegation,
             group,
             state.request,
+            state.route,
             functools.partial(self._on_reply, group),
         )
         if pending is None:
@@ -102,7 +104,7 @@
             state.check_groups_at_s = now_s + GROUP_CHECK_INTERVAL_S
 
     def _on_reply(
-        self, group: _delegation.ShardGroup, reply: _delegation.GroupReply
+        self, group: _parts.ShardGroup, reply: _parts.GroupReply
     ) -> None:
         self._pending = [p for p in self._pending if p.group is not group]
         state = self._state
@@ -122,9 +124,7 @@
                 self._take_over(state.shards[name], reply)
         self._on_changed()
 
-    def _take_over(
-        self, shard: _shard.Shard, reply: _delegation.GroupReply
-    ) -> None:
+    def _take_over(self, shard: _shard.Shard, reply: _parts.GroupReply) -> None:
         """Calls a shard that another node did not call successfully."""
         shard.failure = reply.failure or "the other node returned no part"
         shard.delegated = False
@@ -147,7 +147,7 @@
         self._calls.start_first_call(shard, now_s)
 
     def _record_remote_runs_and_check_attempts(
-        self, shard: _shard.Shard, reply: _delegation.GroupReply
+        self, shard: _shard.Shard, reply: _parts.GroupReply
     ) -> bool:
         """Counts the other node's calls; False if no attempt is left."""
         attempts = self._state.route.max_attempts
@@ -169,14 +169,14 @@
         state.check_groups_at_s = math.inf
         for pending in list(self._pending):
             if not pending.acknowledged and self._can_call_again(pending.group):
-                reply = _delegation.GroupReply(
+                reply = _parts.GroupReply(
                     {},
                     b"",
                     "the node did not acknowledge the request",
                     acknowledged=False,
                 )
             elif not pending.is_responsive:
-                reply = _delegation.GroupReply(
+                reply = _parts.GroupReply(
                     {}, b"", "the node does not answer pings"
                 )
             else:
@@ -185,7 +185,7 @@
             pending.abort(failed=True)
             self._on_reply(pending.group, reply)
 
-    def _can_call_again(self, group: _delegation.ShardGroup) -> bool:
+    def _can_call_again(self, group: _parts.ShardGroup) -> bool:
         """Returns whether all shards of a group may be called again from here.
 
         If not, a late reply is better than none.
--- a/src/geraniumstair/forward/_usage.py
+++ b/src/geraniumstair/forward/_usage.py
@@ -13,7 +13,7 @@
 import trio
 
 from geraniumstair.forward import _call
-from geraniumstair.forward import _delegation
+from geraniumstair.forward import _parts
 
 # Time after which an unanswered call counts as run.
 UNANSWERED_S = 1.0
@@ -55,7 +55,7 @@
         self._clock = clock
         self._calls: dict[_call.Call, None] = {}
         # Groups of shards that other nodes call, and when they were asked.
-        self._groups: dict[_delegation.ShardGroup, float] = {}
+        self._groups: dict[_parts.ShardGroup, float] = {}
         self._finished = False
         self._counted: tuple[float, int] | None = None
 
@@ -70,12 +70,12 @@
             del self._calls[call]
             self._correct()
 
-    def add_group(self, group: _delegation.ShardGroup) -> None:
+    def add_group(self, group: _parts.ShardGroup) -> None:
         """Adds shards that another node is asked to call."""
         self._groups[group] = self._clock()
 
     def end_group(
-        self, group: _delegation.ShardGroup, reply: _delegation.GroupReply
+        self, group: _parts.ShardGroup, reply: _parts.GroupReply
     ) -> None:
         """Records what another node returned for a group of shards."""
         tried = (reply.tried.get(shard) for shard in group.shards)
--- a/src/geraniumstair/gateway/_node.py
+++ b/src/geraniumstair/gateway/_node.py
@@ -273,7 +273,6 @@
             settings.availability_zone,
             pool,
             self._network,
-            state,
             random.Random(),
         )
         forwarder = forward.Forwarder(
--- a/src/geraniumstair/platform/_decoder.py
+++ b/src/geraniumstair/platform/_decoder.py
@@ -316,7 +316,7 @@
 ) -> routing.RouteTable:
     return routing.RouteTable(
         config.version,
-        [_build_route(route) for route in config.routes],
+        [_build_route(route, config.version) for route in config.routes],
         {
             s.name: routing.ServiceLimits(
                 max_connections=s.max_connections,
@@ -376,7 +376,7 @@
     return directory
 
 
-def _build_route(route: Route) -> routing.Route:
+def _build_route(route: Route, version: int) -> routing.Route:
     parts = tuple(
         routing.SplitPart(part.service, part.weight) for part in route.split
     )
@@ -397,4 +397,5 @@
         top_k=route.top_k,
         min_coverage=route.min_coverage,
         keyless=route.keyless,
+        version=version,
     )
--- a/src/geraniumstair/routing/_table.py
+++ b/src/geraniumstair/routing/_table.py
@@ -36,6 +36,7 @@
         top_k: Records in the answer of a search.
         min_coverage: Least share of shards in an answer, 0 to 1.
         keyless: Callers need no key, even if the site has accounts.
+        version: Version of the configuration that contains the route.
     """
 
     name: str
@@ -51,6 +52,7 @@
     top_k: int = 0
     min_coverage: float = 0.0
     keyless: bool = False
+    version: int = 0
 
     @property
     def is_search(self) -> bool:
--- a/tests/builders_accounts.py
+++ b/tests/builders_accounts.py
@@ -226,11 +226,14 @@
 
     Attributes:
         requests: The decoded requests.
+        routes: The routes by which the shards are called.
     """
 
-    def __init__(self, known: accounts.AccountDirectory) -> None:
+    def __init__(self) -> None:
         self.requests: list[forward.CallerRequest] = []
-        routes = table([builders_gateway.search_route(["s1"])], known)
+        self.routes: list[routing.Route] = []
+        # The node has an earlier version, without accounts.
+        routes = builders_gateway.table([builders_gateway.search_route(["s1"])])
         network = builders_gateway.FakeNetwork("n2", {})
         forward.PartsServer(
             network,  # type: ignore[arg-type]
@@ -245,6 +248,7 @@
     ) -> Any:
         """Records a request and refuses it."""
         self.requests.append(request)
+        self.routes.append(route)
         refusal = forward.Refused(
             forward.RefusalReason.NO_ENDPOINT, True, None, ""
         )
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -12,7 +12,8 @@
 from geraniumstair import wire
 from geraniumstair._generated import messages
 from geraniumstair.accounts import _directory
-from geraniumstair.forward import _delegation
+from geraniumstair.forward import _forwarder
+from geraniumstair.forward import _parts
 from geraniumstair.platform import _decoder
 from tests import builders_accounts as builders
 from tests import builders_gateway
@@ -251,23 +252,29 @@
         self,
     ) -> None:
         async def test(nursery: trio.Nursery) -> None:
-            server = builders.RecordingPartsServer(
-                builders.directory(urgent=[_KEY])
-            )
+            server = builders.RecordingPartsServer()
+            search = builders_gateway.search_route(["s1"], priority=3)
             for account, priority in (("urgent", 0), ("", None), ("no", None)):
                 request = builders_gateway.caller_request(
-                    account=account, fields=[(b"x-tenant", account.encode())]
+                    account=account,
+                    priority=priority,
+                    fields=[(b"x-tenant", account.encode())],
+                )
+                message = _parts.encode_request(
+                    request,
+                    _forwarder._apply_priority(request, search),
+                    _parts.ShardGroup("n2", ("s1",)),
+                    1,
+                    0.0,
                 )
-                pending = mock.Mock()
-                pending.parts_id = 1
-                pending.group.shards = ("s1",)
-                message = _delegation._encode_request(request, pending, 0.0, 1)
                 encoded = wire.encode(message)
                 decoded = wire.decode(encoded)
                 assert isinstance(decoded, messages.PartsRequest)
                 await server.handle(decoded)
                 self.assertEqual(server.requests[-1].account, account)
-                self.assertEqual(server.requests[-1].priority, priority)
+                expected = 3 if priority is None else priority
+                self.assertEqual(server.routes[-1].priority, expected)
+                self.assertIsNone(server.requests[-1].priority)
 
         builders_gateway.run_on_virtual_clock(test)
 
--- a/tests/test_forward_delegation.py
+++ b/tests/test_forward_delegation.py
@@ -8,84 +8,11 @@
 
 from geraniumstair import discovery
 from geraniumstair import forward
-from geraniumstair import routing
 from geraniumstair._generated import messages
+from tests import builders_delegation
 from tests import builders_gateway as builders
 
 
-class _Node:
-    """Routes in force and readiness of one node."""
-
-    def __init__(self, table: routing.RouteTable) -> None:
-        self.table: routing.RouteTable | None = table
-        self.stopping = False
-
-
-class _Site:
-    """Node n1 (`local`) in zone a and node n2 (`remote`) in zone b.
-
-    Six of the eight shards have endpoints in zone b only.
-    """
-
-    def __init__(
-        self, nursery: trio.Nursery, copies: str = "xy", **route: object
-    ) -> None:
-        names = [f"s{i}" for i in range(8)]
-        self.route = builders.search_route(names, top_k=8, **route)
-        entries: list[discovery.EndpointEntry] = []
-        for i, name in enumerate(names):
-            for copy in copies:
-                zone = "a" if i < 2 else "b"
-                entries.append(
-                    builders.endpoint_entry(
-                        f"{copy}{i}", service=name, availability_zone=zone
-                    )
-                )
-        self.local = builders.ForwarderFixture(nursery, entries, [self.route])
-        self.remote = builders.ForwarderFixture(nursery, entries, [self.route])
-        self.networks: dict[str, builders.FakeNetwork] = {}
-        self.local_network = builders.DirectNetwork("n1", self.networks)
-        self.remote_network = builders.DirectNetwork("n2", self.networks)
-        self.local_node = _Node(builders.table([self.route]))
-        self.remote_node = _Node(builders.table([self.route]))
-        self.delegation = forward.Delegation(
-            "n1",
-            "a",
-            self.local.pool,
-            self.local_network,
-            self.local_node,
-            random.Random(1),
-        )
-        self.delegation.set_nodes(builders.node_infos(n1="a", n2="b"))
-        self.forwarder = forward.Forwarder(
-            self.local.pool,
-            self.local.budget,
-            builders.FakeDialect(),
-            self.local.metrics,
-            self.delegation,
-        )
-        forward.PartsServer(
-            self.remote_network,
-            self.remote_node,
-            self.remote.forwarder,
-            self.remote_node,
-        )
-        for i in range(8):
-            for fixture in (self.local, self.remote):
-                for copy in copies:
-                    fixture.site.behaviour(
-                        f"{copy}{i}"
-                    ).reply = builders.endpoint_reply(
-                        b"%d" % i * 16, signature=b"p%d" % i
-                    )
-
-    async def search(self) -> forward.ForwardResult:
-        """Runs one search at node n1."""
-        return await self.forwarder.forward(
-            builders.caller_request(), self.route
-        )
-
-
 class _CountingNetwork(builders.DirectNetwork):
     """Counts the reads of the connected nodes."""
 
@@ -107,7 +34,7 @@
 
     def test_remote_shards_are_called_by_a_node_in_their_zone(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery)
+            site = builders_delegation.TwoNodeSite(nursery)
             outcome = await site.search()
             assert isinstance(outcome, forward.SearchResult)
             self.assertEqual(outcome.missing, 0)
@@ -122,7 +49,7 @@
 
     def test_remote_shards_that_are_down_are_refused_at_once(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery, min_coverage=0.7)
+            site = builders_delegation.TwoNodeSite(nursery, min_coverage=0.7)
             for fixture in (site.local, site.remote):
                 for shard in (2, 3, 4):
                     for copy in "xy":
@@ -157,7 +84,7 @@
             entries = [
                 builders.endpoint_entry(f"x{n}", service=n) for n in names
             ]
-            site = _Site(nursery)
+            site = builders_delegation.TwoNodeSite(nursery)
             fixture = builders.ForwarderFixture(nursery, entries, [route])
             network = _CountingNetwork("n1", site.networks)
             delegation = forward.Delegation(
@@ -165,7 +92,6 @@
                 "a",
                 fixture.pool,
                 network,
-                site.local_node,
                 random.Random(1),
             )
             delegation.set_nodes(builders.node_infos(n1="a", n2="a"))
@@ -179,7 +105,7 @@
         async def test(nursery: trio.Nursery) -> None:
             for fault in ("stopping", "version", "cut"):
                 with self.subTest(fault=fault):
-                    site = _Site(nursery)
+                    site = builders_delegation.TwoNodeSite(nursery)
                     site.remote_node.stopping = fault == "stopping"
                     if fault == "version":
                         site.remote_node.table = None
@@ -194,7 +120,7 @@
 
     def test_a_silent_node_is_replaced_within_the_time_limit(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery, min_coverage=0.9)
+            site = builders_delegation.TwoNodeSite(nursery, min_coverage=0.9)
             site.remote_network.drops_replies = True
             started_s = trio.current_time()
             outcome = await site.search()
@@ -215,7 +141,9 @@
         # through the lost nodes failed, because these might have used all
         # attempts on three endpoints.
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery, copies="xyz", min_coverage=0.9)
+            site = builders_delegation.TwoNodeSite(
+                nursery, copies="xyz", min_coverage=0.9
+            )
             site.remote_network.drops_requests = True
             started_s = trio.current_time()
             outcome = await site.search()
@@ -233,7 +161,9 @@
         # A node that freezes and wakes again makes the calls of a request that
         # was repeated meanwhile, to other endpoints of the shard.
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery, copies="xyz", min_coverage=0.2)
+            site = builders_delegation.TwoNodeSite(
+                nursery, copies="xyz", min_coverage=0.2
+            )
             site.local.set_members([f"n{i}" for i in range(40)])
             site.remote_network.drops_requests = True
             for i in range(2, 8):
@@ -252,7 +182,9 @@
         # The hedges of a node that woke from a pause came before it read that
         # the request had been repeated elsewhere.
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery, copies="xyz", min_coverage=0.9)
+            site = builders_delegation.TwoNodeSite(
+                nursery, copies="xyz", min_coverage=0.9
+            )
             for i in range(2, 8):
                 for copy in "xyz":
                     site.remote.site.behaviour(f"{copy}{i}").reply = None
@@ -276,25 +208,13 @@
         # A node that wakes reads a request and its end at once. It made calls
         # and repeats that had been made elsewhere.
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery)
+            site = builders_delegation.TwoNodeSite(nursery)
             handlers = site.remote_network.handlers
             handle_request = handlers[messages.PartsRequest]
             handle_end = handlers[messages.PartsEnd]
             for parts_id, called in ((7, 0), (8, 2)):
-                request = messages.PartsRequest(
-                    parts_id=parts_id,
-                    version=1,
-                    shards=["s2", "s3"],
-                    elapsed_ms=0.0,
-                    remaining_ms=1000.0,
-                    request_id=b"q1",
-                    method=b"GET",
-                    target=b"/p/x",
-                    host="h.example",
-                    path="/p/x",
-                    fields=[],
-                    body=b"",
-                    has_body=False,
+                request = builders_delegation.parts_request(
+                    ["s2", "s3"], parts_id=parts_id
                 )
                 await handle_end("n1", messages.PartsEnd(parts_id=7))
                 reply = await handle_request("n1", request)
@@ -305,7 +225,9 @@
 
     def test_a_busy_node_is_waited_for_without_retry_budget(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery, copies="xyz", min_coverage=0.9)
+            site = builders_delegation.TwoNodeSite(
+                nursery, copies="xyz", min_coverage=0.9
+            )
             site.local.budget.set_limits(forward.BudgetLimits(0.0, 10.0, 0.0))
             while site.local.budget.try_consume("s5"):
                 pass
@@ -319,7 +241,7 @@
 
     def test_a_zone_without_power_is_bypassed(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery, min_coverage=1.0)
+            site = builders_delegation.TwoNodeSite(nursery, min_coverage=1.0)
             # Node n2 and one endpoint of each remote shard stop responding.
             site.remote_network.drops_replies = True
             for i in range(2, 8):
@@ -337,7 +259,7 @@
 
     def test_parts_that_the_other_node_lacks_are_missing(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery, min_coverage=0.75)
+            site = builders_delegation.TwoNodeSite(nursery, min_coverage=0.75)
             for copy in "xy":
                 site.remote.site.behaviour(f"{copy}5").reply = None
             started_s = trio.current_time()
@@ -356,7 +278,7 @@
         # A search failed at its latency goal, because the other node lacked
         # parts that it was allowed to leave out.
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery, min_coverage=0.75)
+            site = builders_delegation.TwoNodeSite(nursery, min_coverage=0.75)
             failed = forward.Reply(forward.Outcome.FAILED, "", 500)
             # One attempt is left, but the other node's budget allows no repeat.
             site.remote.budget.set_limits(forward.BudgetLimits(0.0, 10.0, 0.0))
@@ -377,7 +299,7 @@
         # An endpoint had been replaced, and a shard ran on two endpoints for
         # the other node and on a third one for this node.
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery, min_coverage=0.75)
+            site = builders_delegation.TwoNodeSite(nursery, min_coverage=0.75)
             failed = forward.Reply(forward.Outcome.FAILED, "", 500)
             for fixture in (site.local, site.remote):
                 for copy in "xy":
@@ -411,7 +333,7 @@
 
     def test_the_other_node_stops_when_the_caller_disconnects(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery)
+            site = builders_delegation.TwoNodeSite(nursery)
             for i in range(8):
                 for copy in "xy":
                     site.remote.site.behaviour(f"{copy}{i}").delay_s = 5.0
@@ -426,7 +348,7 @@
 
     def test_shards_of_another_version_are_not_mixed(self) -> None:
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery)
+            site = builders_delegation.TwoNodeSite(nursery)
             other = builders.search_route(["t0", "t1"])
             site.remote_node.table = builders.table([other], version=2)
             outcome = await site.search()
@@ -441,7 +363,7 @@
         # although the other node had sent all calls and only its reply was
         # lost.
         async def test(nursery: trio.Nursery) -> None:
-            site = _Site(nursery, min_coverage=0.9)
+            site = builders_delegation.TwoNodeSite(nursery, min_coverage=0.9)
             site.local.budget.set_limits(forward.BudgetLimits(0.0, 10.0, 0.0))
             for i in range(8):
                 while site.local.budget.try_consume(f"s{i}"):
@@ -474,7 +396,7 @@
                 )
                 for i, n in enumerate(names)
             ]
-            site = _Site(nursery)
+            site = builders_delegation.TwoNodeSite(nursery)
             fixture = builders.ForwarderFixture(nursery, entries, [route])
             nodes = {f"a{i}": "a" for i in range(1, 5)}
             nodes |= {f"b{i}": "b" for i in range(1, 5)}
@@ -486,7 +408,6 @@
                 "a",
                 fixture.pool,
                 network,
-                site.local_node,
                 random.Random(1),
             )
             delegation.set_nodes(builders.node_infos(n1="a", **nodes))
--- /dev/null
+++ b/tests/test_forward_route_versions.py
@@ -0,0 +1,143 @@
+"""Tests of searches that meet a change of the routes."""
+
+from typing import Any
+import unittest
+
+import trio
+
+from geraniumstair import forward
+from geraniumstair import routing
+from geraniumstair._generated import messages
+from geraniumstair.forward import _forwarder
+from tests import builders_delegation
+from tests import builders_gateway as builders
+
+_SHARDS = tuple(f"s{i}" for i in range(8))
+_ALL_RECORDS = b"".join(b"%d" % i * 16 for i in range(7, -1, -1))
+_RECORD_BYTES = 16
+
+
+def _wide_route(**changes: Any) -> routing.Route:
+    return builders.search_route(_SHARDS, **({"top_k": 8} | changes))
+
+
+def _narrow_route(**changes: Any) -> routing.Route:
+    """Returns a route that matches a part of the wide route's paths."""
+    fields = {"name": "r2", "prefix": "/p/x/", "top_k": 1} | changes
+    return builders.search_route(_SHARDS, **fields)
+
+
+def _request(path: str = "/p/x/1", **changes: Any) -> forward.CallerRequest:
+    return builders.caller_request(path=path, target=path.encode(), **changes)
+
+
+class _RecordingGatherer:
+    """Records the routes by which shards are called, and refuses them."""
+
+    def __init__(self) -> None:
+        self.routes: list[routing.Route] = []
+
+    async def gather(
+        self, request: forward.CallerRequest, route: routing.Route, shards: Any
+    ) -> Any:
+        """Records a route."""
+        self.routes.append(_forwarder._apply_priority(request, route))
+        refusal = forward.Refused(
+            forward.RefusalReason.NO_ENDPOINT, True, None, ""
+        )
+        return refusal, []
+
+
+class DelegatedPartsTest(unittest.TestCase):
+    """Guards against parts that follow other terms than the search's."""
+
+    def test_a_newer_route_of_the_other_node_does_not_cut_the_records(
+        self,
+    ) -> None:
+        # The other node merged its parts to the fewer records of a route that
+        # had just been added, and the answer lacked greater records.
+        async def test(nursery: trio.Nursery) -> None:
+            site = builders_delegation.TwoNodeSite(nursery)
+            site.remote_node.table = builders.table(
+                [site.route, _narrow_route()], version=2
+            )
+            outcome = await site.forwarder.forward(_request(), site.route)
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(outcome.missing, 0)
+            self.assertEqual(outcome.records, _ALL_RECORDS)
+            self.assertEqual(len(site.remote.site.sent), 6)
+
+        builders.run_on_virtual_clock(test)
+
+    def test_a_node_with_earlier_routes_calls_the_shards_it_knows(self) -> None:
+        # It declined each newer version, also one with the same shards, and was
+        # not asked again for 1.5 s.
+        async def test(nursery: trio.Nursery) -> None:
+            site = builders_delegation.TwoNodeSite(nursery)
+            narrow = _narrow_route(top_k=5)
+            site.local_node.table = builders.table(
+                [site.route, narrow], version=2
+            )
+            outcome = await site.forwarder.forward(_request(), narrow)
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(outcome.missing, 0)
+            self.assertEqual(outcome.records, _ALL_RECORDS[: 5 * _RECORD_BYTES])
+            self.assertEqual(len(site.remote.site.sent), 6)
+
+        builders.run_on_virtual_clock(test)
+
+    def test_the_other_node_takes_all_terms_from_the_search(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            site = builders_delegation.TwoNodeSite(nursery)
+            gatherer = _RecordingGatherer()
+            network = builders.DirectNetwork("n2", site.networks)
+            forward.PartsServer(
+                network, site.remote_node, gatherer, site.remote_node
+            )
+            changed = _wide_route(
+                top_k=1,
+                max_attempts=1,
+                timeout_ms=50.0,
+                latency_goal_ms=10.0,
+                priority=9,
+                min_coverage=1.0,
+            )
+            site.remote_node.table = builders.table([changed], version=2)
+            terms = (
+                "name",
+                "idempotent",
+                "max_attempts",
+                "timeout_ms",
+                "latency_goal_ms",
+                "priority",
+                "top_k",
+            )
+            for account_priority in (None, 0):
+                request = _request(priority=account_priority)
+                expected = _forwarder._apply_priority(request, site.route)
+                await site.forwarder.forward(request, site.route)
+                for term in terms:
+                    with self.subTest(term, priority=account_priority):
+                        self.assertEqual(
+                            getattr(gatherer.routes[-1], term),
+                            getattr(expected, term),
+                        )
+
+        builders.run_on_virtual_clock(test)
+
+    def test_a_request_without_terms_is_declined(self) -> None:
+        # Nodes of an earlier build send none. Without its terms, a part of the
+        # search may be cut by another route.
+        async def test(nursery: trio.Nursery) -> None:
+            site = builders_delegation.TwoNodeSite(nursery)
+            request = builders_delegation.parts_request(
+                ["s2", "s3"], max_attempts=0
+            )
+            reply = await site.remote_network.handlers[messages.PartsRequest](
+                "n1", request
+            )
+            self.assertTrue(reply.declined)
+            self.assertFalse(reply.ran)
+            self.assertEqual(site.remote.site.sent, [])
+
+        builders.run_on_virtual_clock(test)
--- a/tests/test_forward_usage.py
+++ b/tests/test_forward_usage.py
@@ -268,7 +268,6 @@
                 "a",
                 local.pool,
                 builders.DirectNetwork("n1", networks),
-                tables,
                 random.Random(1),
             )
             delegation.set_nodes(builders.node_infos(n1="a", n2="b"))
