Use cached groups only for the shards of the search

Cause: the groups of a search were cached for 0.1 s by the name of its route. A search of the next version under the same name got the groups of the earlier shards, and a shard that it does not have raised KeyError.

The cache now keeps the shards that its groups were computed for. Ruled out: a cache by shards alone, which would grow with each version.

--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -147,7 +147,7 @@
         self._avoid_s: dict[str, float] = {}
         self._pending_counts: dict[str, int] = {}
         self._latency_ms: dict[str, float] = {}
-        self._plans: dict[str, tuple[float, list[_ZoneGroup]]] = {}
+        self._plans: dict[str, _Plan] = {}
         # By zone, the nodes that call shards of that zone for this node.
         self._delegation_nodes: dict[str, list[str]] = {}
         self._parts_ids = itertools.count(1)
@@ -165,15 +165,24 @@
     def plan_groups(self, route: routing.Route) -> list[_parts.ShardGroup]:
         """Returns the groups of shards that other nodes should call."""
         now_s = trio.current_time()
-        cached = self._plans.get(route.name)
-        if cached is None or cached[0] <= now_s:
-            cached = (now_s + PLAN_TTL_S, self._group_shards(route.shards))
-            self._plans[route.name] = cached
+        plan = self._plans.get(route.name)
+        # Searches of an earlier version of the route may still be in progress.
+        if (
+            plan is None
+            or plan.expires_s <= now_s
+            or plan.shards != route.shards
+        ):
+            plan = _Plan(
+                now_s + PLAN_TTL_S,
+                route.shards,
+                self._group_shards(route.shards),
+            )
+            self._plans[route.name] = plan
         # The connected nodes are read once for all groups: a large search has
         # dozens of groups, and a large site many peers.
         connected = self._network.connected_nodes()
         shards_by_node: dict[str, list[str]] = {}
-        for group in cached[1]:
+        for group in plan.groups:
             if group.key:
                 node_id = self._choose_by_key(group, connected, now_s)
             else:
@@ -378,3 +387,18 @@
     zone: str
     key: str
     shards: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Plan:
+    """The groups of one route.
+
+    Attributes:
+        expires_s: When the groups are recomputed.
+        shards: All shards of the route.
+        groups: Those that other nodes should call.
+    """
+
+    expires_s: float
+    shards: tuple[str, ...]
+    groups: list[_ZoneGroup]
--- a/tests/test_forward_route_versions.py
+++ b/tests/test_forward_route_versions.py
@@ -1,5 +1,7 @@
 """Tests of searches that meet a change of the routes."""
 
+import dataclasses
+import random
 from typing import Any
 import unittest
 
@@ -141,3 +143,72 @@
             self.assertEqual(site.remote.site.sent, [])
 
         builders.run_on_virtual_clock(test)
+
+
+class ChangedShardsTest(unittest.TestCase):
+    """Guards against searches that fail because the routes have changed."""
+
+    def test_a_plan_of_earlier_shards_is_not_used(self) -> None:
+        # The plan of a route was kept by the route's name. A search of the next
+        # version within 0.1 s ended with 502.
+        async def test(nursery: trio.Nursery) -> None:
+            site = builders_delegation.TwoNodeSite(nursery)
+            await site.search()
+            fewer = builders.search_route(_SHARDS[:5], top_k=8)
+            for route in (fewer, site.route, fewer):
+                for node in (site.local_node, site.remote_node):
+                    node.table = builders.table([route], version=2)
+                outcome = await site.forwarder.forward(_request(), route)
+                assert isinstance(outcome, forward.SearchResult)
+                self.assertEqual(outcome.missing, 0)
+                self.assertEqual(len(outcome.signatures), len(route.shards))
+
+        builders.run_on_virtual_clock(test)
+
+
+class ChangeStormTest(unittest.TestCase):
+    """Guards against mixed, partial or failed answers during many changes."""
+
+    def _draw_table(
+        self, rng: random.Random, version: int
+    ) -> routing.RouteTable:
+        shards = _SHARDS[: rng.choice((5, 8, 8))]
+        routes = [
+            dataclasses.replace(
+                _wide_route(top_k=rng.choice((3, 8))), shards=shards
+            )
+        ]
+        if rng.random() < 0.5:
+            narrow = _narrow_route(top_k=rng.choice((1, 5)))
+            routes.append(dataclasses.replace(narrow, shards=shards))
+        return builders.table(routes, version=version)
+
+    def test_each_answer_follows_the_route_of_its_search(self) -> None:
+        async def play(nursery: trio.Nursery, seed: int) -> None:
+            rng = random.Random(seed)
+            site = builders_delegation.TwoNodeSite(nursery)
+            tables = [self._draw_table(rng, v) for v in range(1, 12)]
+            for step in range(40):
+                newest = step // 4
+                local, remote = (
+                    tables[max(0, newest - rng.choice((0, 0, 1, 2)))]
+                    for _ in range(2)
+                )
+                site.local_node.table, site.remote_node.table = local, remote
+                route = local.match("h.example", "/p/x/1")
+                assert route is not None
+                outcome = await site.forwarder.forward(_request(), route)
+                assert isinstance(outcome, forward.SearchResult), outcome
+                self.assertEqual(outcome.missing, 0)
+                first = _RECORD_BYTES * (len(_SHARDS) - len(route.shards))
+                wanted = _ALL_RECORDS[first:][: route.top_k * _RECORD_BYTES]
+                self.assertEqual(outcome.records, wanted)
+                await trio.sleep(rng.choice((0.0, 0.01, 0.06)))
+
+        for seed in range(30):
+            with self.subTest(seed=seed):
+
+                async def test(nursery: trio.Nursery, seed: int = seed) -> None:
+                    await play(nursery, seed)
+
+                builders.run_on_virtual_clock(test)
