Ask a node again soon if its routes lacked the shards of a search

Cause: a node that declines shards because its version of the routes differs was avoided like one that failed: for 1.5 s, doubling up to 12 s with each further decline.

The reply now says that the routes differ, and the node is asked again after 0.2 s. No avoidance at all was weighed: each search would wait for the decline of a node that is slow to learn of the version.

The test failed before.

--- a/src/geraniumstair/_generated/messages.py
+++ b/src/geraniumstair/_generated/messages.py
@@ -857,6 +857,18 @@
     """
     Endpoints that ended while they ran the request.
     """
+    routes_differ: (
+        Annotated[
+            bool,
+            Meta(
+                description="The parts were declined because the routes of the node lack some of the shards."
+            ),
+        ]
+        | UnsetType
+    ) = False
+    """
+    The parts were declined because the routes of the node lack some of the shards.
+    """
 
 
 class EndReport(Message):
--- a/src/geraniumstair/forward/_delegation.py
+++ b/src/geraniumstair/forward/_delegation.py
@@ -49,6 +49,9 @@
 # failure in a row.
 AVOID_MIN_S = 1.5
 AVOID_MAX_S = 12.0
+# A node whose routes lack the shards of a search gets no requests for this
+# time. Most nodes learn of a new version within it.
+CHANGE_AVOID_S = 0.2
 # Weight of a new sample in the moving average of a node's latency.
 LATENCY_WEIGHT = 0.1
 INITIAL_LATENCY_MS = 30.0
@@ -268,7 +271,9 @@
         latency_ms += LATENCY_WEIGHT * (took_ms - latency_ms)
         self._latency_ms[node_id] = latency_ms
         reply = _parts.decode_reply(pending.group, outcome)
-        if reply.failure:
+        if reply.routes_differ:
+            self._avoid_during_change(node_id, reply.failure)
+        elif reply.failure:
             self._avoid_node(node_id, reply.failure)
         else:
             self._avoid_s.pop(node_id, None)
@@ -283,6 +288,13 @@
         self._avoid_until_s[node_id] = now_s + avoid_s
         _LOG.info("forward: node %s returned no parts: %s", node_id, reason)
 
+    def _avoid_during_change(self, node_id: str, reason: str) -> None:
+        until_s = trio.current_time() + CHANGE_AVOID_S
+        self._avoid_until_s[node_id] = max(
+            self._avoid_until_s.get(node_id, 0.0), until_s
+        )
+        _LOG.info("forward: node %s declined shards: %s", node_id, reason)
+
     def _choose_by_key(
         self, group: "_ZoneGroup", connected: Set[str], now_s: float
     ) -> str | None:
--- a/src/geraniumstair/forward/_parts.py
+++ b/src/geraniumstair/forward/_parts.py
@@ -43,6 +43,7 @@
             absent if the node did not report its endpoints.
         ended: Endpoints that ended while they ran the request, with their
             starts.
+        routes_differ: The routes of the node lack some of the shards.
     """
 
     signatures: Mapping[str, bytes]
@@ -54,6 +55,7 @@
         default_factory=dict
     )
     ended: frozenset[str] = frozenset()
+    routes_differ: bool = False
 
 
 def encode_request(
@@ -149,6 +151,7 @@
     ran: bool,
     tried: list[list[str]] | None = None,
     ended: list[str] | None = None,
+    routes_differ: bool = False,
 ) -> messages.PartsReply:
     """Returns a reply without parts.
 
@@ -157,6 +160,7 @@
         ran: The shards may have been called.
         tried: Endpoints that may have run the request, by shard.
         ended: Endpoints that ended while they ran it, with their starts.
+        routes_differ: The routes of this node lack some of the shards.
     """
     return messages.PartsReply(
         declined=reason,
@@ -166,6 +170,7 @@
         records=b"",
         tried=tried or [],
         ended=ended or [],
+        routes_differ=routes_differ,
     )
 
 
@@ -219,6 +224,7 @@
             reply.ran,
             tried=tried,
             ended=ended,
+            routes_differ=bool(reply.routes_differ),
         )
     valid = range(len(group.shards))
     signatures = {
--- a/src/geraniumstair/forward/_parts_server.py
+++ b/src/geraniumstair/forward/_parts_server.py
@@ -125,5 +125,6 @@
                 "the shards differ between versions "
                 f"{message.version} and {table.version if table else None}",
                 ran=False,
+                routes_differ=True,
             )
         return None
--- a/tests/test_forward_route_versions.py
+++ b/tests/test_forward_route_versions.py
@@ -144,6 +144,23 @@
 
         builders.run_on_virtual_clock(test)
 
+    def test_a_node_that_lacks_the_shards_is_asked_again_soon(self) -> None:
+        async def test(nursery: trio.Nursery) -> None:
+            site = builders_delegation.TwoNodeSite(nursery)
+            site.remote_node.table = builders.table(
+                [builders.search_route(["t0", "t1"])]
+            )
+            outcome = await site.search()
+            assert isinstance(outcome, forward.SearchResult)
+            self.assertEqual(outcome.records, _ALL_RECORDS)
+            self.assertEqual(site.remote.site.sent, [])
+            site.remote_node.table = builders.table([site.route], version=2)
+            await trio.sleep(0.3)
+            await site.search()
+            self.assertEqual(len(site.remote.site.sent), 6)
+
+        builders.run_on_virtual_clock(test)
+
 
 class ChangedShardsTest(unittest.TestCase):
     """Guards against searches that fail because the routes have changed."""
