Test requests in progress whose services leave the routes

Repeats after a change follow the route that the request began with, for a search and for a request to one endpoint.

--- a/tests/test_forward_route_versions.py
+++ b/tests/test_forward_route_versions.py
@@ -229,3 +229,61 @@
                     await play(nursery, seed)
 
                 builders.run_on_virtual_clock(test)
+
+
+class RequestInProgressTest(unittest.TestCase):
+    """Guards against requests that fail when their services leave the routes.
+
+    Their first calls are lost, so the repeats follow the change.
+    """
+
+    def _forward_during_change(self, route: routing.Route) -> Any:
+        outcomes: list[forward.ForwardResult] = []
+
+        async def test(nursery: trio.Nursery) -> None:
+            fixture = builders.ForwarderFixture(
+                nursery,
+                [
+                    builders.endpoint_entry(f"{copy}-{name}", service=name)
+                    for name in route.services
+                    for copy in "xy"
+                ],
+                [route],
+            )
+            lost = forward.Reply(forward.Outcome.LOST, "lost")
+            for name in route.services:
+                for copy in "xy":
+                    behaviour = fixture.site.behaviour(f"{copy}-{name}")
+                    behaviour.delay_s = 0.05
+                    behaviour.reply = builders.endpoint_reply(
+                        name[-1:].encode() * _RECORD_BYTES, name.encode()
+                    )
+
+            async def search() -> None:
+                outcomes.append(
+                    await fixture.forwarder.forward(_request("/p/x"), route)
+                )
+
+            nursery.start_soon(search)
+            await trio.sleep(0.02)
+            for endpoint_id in fixture.site.sent_to():
+                fixture.site.behaviour(endpoint_id).reply = lost
+            other = builders.search_route(["t0"], top_k=1, max_attempts=1)
+            fixture.pool.set_route_table(builders.table([other], version=2))
+            await trio.sleep(1)
+            calls = 2 * len(route.services)
+            self.assertEqual(len(fixture.site.sent), calls)
+
+        builders.run_on_virtual_clock(test)
+        return outcomes[0]
+
+    def test_a_search_keeps_its_shards_and_terms(self) -> None:
+        outcome = self._forward_during_change(_wide_route())
+        self.assertIsInstance(outcome, forward.SearchResult)
+        self.assertEqual(outcome.missing, 0)
+        self.assertEqual(outcome.records, _ALL_RECORDS)
+
+    def test_a_request_to_one_endpoint_keeps_its_service(self) -> None:
+        outcome = self._forward_during_change(builders.route())
+        self.assertIsInstance(outcome, forward.SingleResult)
+        self.assertEqual(outcome.reply.signature, b"s1")
