Send requests in the paused owner's test once the endpoints can be reached

All 20 requests after the takeover got NO_ENDPOINT from both nodes.

Cause: the test kills the ledger's endpoints, starts them again and sends at once. A new owner that notices in between that they are gone refuses requests until its next attempt to connect, 0.1 to 2 s later. The refusals are true (the requests did not run) and intended (see test_unreachable_endpoints_refuse_at_once_as_not_run), but test nothing here.

Ruled out: the change of parts between nodes (it does not touch dispatch); few processors alone (63 runs on one or two cores passed).

The test now waits until the endpoints listen and no node that was not paused reports them as unreachable. Its bounds and checks are unchanged.

--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -91,6 +91,10 @@
             names = [n for n in site.endpoint_fleet.endpoints if "ledger" in n]
             await site.endpoint_fleet.control("kill", names)
             await site.endpoint_fleet.control("start", names, cold=True)
+            # A node that noticed that the endpoints were killed refuses
+            # requests until its next attempt to connect, which is allowed but
+            # tests nothing.
+            await self._wait_until_reachable(site, others, names)
             async with trio.open_nursery() as nursery:
                 for key in keys[20:]:
                     nursery.start_soon(send, key)
@@ -123,6 +127,37 @@
 
         await builders_site.wait_until(is_taken_over)
 
+    async def _wait_until_reachable(
+        self, site: devsite.Site, node_ids: list[str], names: list[str]
+    ) -> None:
+        """Waits until endpoints listen and nodes don't report otherwise."""
+        specs = [
+            endpoint
+            for service in site.document.subsidiaries[0].services
+            for shard in service.shards
+            for endpoint in shard.endpoints
+            if endpoint.name in names
+        ]
+
+        async def are_reachable() -> bool:
+            try:
+                for spec in specs:
+                    stream = await trio.open_tcp_stream(spec.address, spec.port)
+                    await stream.aclose()
+            except OSError:
+                return False
+            for node_id in node_ids:
+                dump = await site.fetch_state_dump(node_id)
+                for shard in dump["dispatch"]["shards"]:
+                    for endpoint in shard["endpoints"]:
+                        if endpoint["unreachable"] and (
+                            endpoint["endpoint"] in names
+                        ):
+                            return False
+            return True
+
+        await builders_site.wait_until(are_reachable)
+
 
 class StoreOutageTest(unittest.TestCase):
     """Guards against searches that need the store, and runs without claim."""
