Collect the endpoints of a document in one place for the tests

The wait for endpoints that can be reached repeated the loop over services and shards from the test of the VM list, and read the state dump in deeper nesting than the test of draining endpoints.

--- a/tests/builders_site.py
+++ b/tests/builders_site.py
@@ -92,6 +92,16 @@
     ]
 
 
+def all_endpoints(document: Any) -> list[Any]:
+    """Returns the specifications of all endpoints."""
+    return [
+        endpoint
+        for service in document.subsidiaries[0].services
+        for shard in service.shards
+        for endpoint in shard.endpoints
+    ]
+
+
 @dataclasses.dataclass
 class Load:
     """Results of the searches sent by `open_load`.
--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -132,11 +132,9 @@
     ) -> None:
         """Waits until endpoints listen and nodes don't report otherwise."""
         specs = [
-            endpoint
-            for service in site.document.subsidiaries[0].services
-            for shard in service.shards
-            for endpoint in shard.endpoints
-            if endpoint.name in names
+            spec
+            for spec in builders_site.all_endpoints(site.document)
+            if spec.name in names
         ]
 
         async def are_reachable() -> bool:
@@ -146,15 +144,16 @@
                     await stream.aclose()
             except OSError:
                 return False
+            unreachable: set[str] = set()
             for node_id in node_ids:
                 dump = await site.fetch_state_dump(node_id)
                 for shard in dump["dispatch"]["shards"]:
-                    for endpoint in shard["endpoints"]:
-                        if endpoint["unreachable"] and (
-                            endpoint["endpoint"] in names
-                        ):
-                            return False
-            return True
+                    unreachable |= {
+                        e["endpoint"]
+                        for e in shard["endpoints"]
+                        if e["unreachable"]
+                    }
+            return unreachable.isdisjoint(names)
 
         await builders_site.wait_until(are_reachable)
 
@@ -332,12 +331,7 @@
 
     def test_vm_list_with_all_vms_leaving_stops_no_search(self) -> None:
         async def scenario(site: devsite.Site) -> None:
-            specs = [
-                endpoint
-                for service in site.document.subsidiaries[0].services
-                for shard in service.shards
-                for endpoint in shard.endpoints
-            ]
+            specs = builders_site.all_endpoints(site.document)
             await site.control_vm_list(
                 vms=[
                     {
