--- a/review/harness_3/case.py
+++ b/review/harness_3/case.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -87,7 +88,10 @@
         for node in self.nodes:
             while not await node.is_ready():
                 if time.monotonic() > ends_s:
-                    raise NotRun(f"{node.name} is not ready")
+                    raise NotRun(
+                        f"{node.name} is not ready, running: {node.running}, "
+                        f"log: {node.log_tail()}"
+                    )
                 await asyncio.sleep(0.05)
 
     def check_running(self) -> None:
@@ -100,14 +104,22 @@
 Play = Callable[[Site], Awaitable[bool]]
 
 
+def _stop_at_signal() -> None:
+    """Makes SIGTERM end the run, with all processes that it started."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+
+
 async def _play(play: Play, folder: pathlib.Path, record: pathlib.Path) -> int:
     site = Site(folder)
     try:
+        _stop_at_signal()
         await site.store.start()
         async with asyncio.timeout(LIMIT_S):
             broken = await play(site)
         verdict = BROKEN if broken else HELD
-    except (NotRun, TimeoutError) as error:
+    except (NotRun, TimeoutError, asyncio.CancelledError) as error:
         site.note(f"the case could not run: {error!r}")
         verdict = NOT_RUN
     finally:
--- a/review/harness_3/client.py
+++ b/review/harness_3/client.py
@@ -108,7 +108,9 @@
             "x-time-remaining": str(limit_ms),
         }
         try:
-            writer.write(http.encode(f"{method} {path} HTTP/1.1", headers, body))
+            writer.write(
+                http.encode(f"{method} {path} HTTP/1.1", headers, body)
+            )
             await writer.drain()
         except ConnectionError:
             # The node may have answered before it read the whole request.
--- a/review/harness_3/node.py
+++ b/review/harness_3/node.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import shlex
 import signal
 import socket
@@ -51,23 +52,35 @@
     "rollout",
     "platform",
 ]
+_TAIL_CHARACTERS = 1500
 _KEPT_VARIABLES = ("PATH", "HOME", "LANG")
+# Below the kernel's own range, so that no outgoing connection takes a port
+# before its process binds it.
+_PORTS = range(10_000, 32_000)
 _used_ports: set[int] = set()
 
 
 def find_ports(count: int) -> list[int]:
     """Returns ports on loopback that are free now."""
+    rng = random.SystemRandom()
     ports: list[int] = []
     while len(ports) < count:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        if port not in _used_ports:
+        port = rng.choice(_PORTS)
+        if port not in _used_ports and _is_free(port):
             _used_ports.add(port)
             ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 class Node:
     """One machine with one process of the product.
 
@@ -90,6 +103,7 @@
         self._folder = folder
         self._process: subprocess.Popen[bytes] | None = None
         self._starts = 0
+        self._log = folder / f"{name}.log"
 
     def start(self, seeds: list[str], *, first: bool) -> None:
         """Starts the process.
@@ -153,8 +167,8 @@
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
         environment["GERANIUMSTAIR_BOOT"] = str(path)
         self._starts += 1
-        log = self._folder / f"{self.name}-{self._starts}.log"
-        with log.open("wb") as output:
+        self._log = self._folder / f"{self.name}-{self._starts}.log"
+        with self._log.open("wb") as output:
             self._process = subprocess.Popen(
                 words,
                 cwd=ROOT,
@@ -169,6 +183,12 @@
         """Whether the process runs."""
         return self._process is not None and self._process.poll() is None
 
+    def log_tail(self) -> str:
+        """Returns the end of the log of the last process."""
+        if not self._log.exists():
+            return ""
+        return self._log.read_text(errors="replace")[-_TAIL_CHARACTERS:]
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
         if self._process is not None and self.running:
--- a/review/harness_3/store.py
+++ b/review/harness_3/store.py
@@ -10,6 +10,8 @@
 from review.harness_3 import http
 
 _FIRST_REVISION = 100
+# As the sheets state.
+_ANSWER_S = 0.004
 
 
 class Store:
@@ -97,6 +99,7 @@
     ) -> None:
         try:
             while (request := await http.read(reader)) is not None:
+                await asyncio.sleep(_ANSWER_S)
                 status, body = await self._respond(request)
                 writer.write(
                     http.encode(
@@ -137,7 +140,8 @@
         keys = [
             key
             for key in sorted(self._items)
-            if key.startswith(values["Prefix"]) and key > values.get("after", "")
+            if key.startswith(values["Prefix"])
+            and key > values.get("after", "")
         ]
         items = [self._items[key] for key in keys[:500]]
         return {"items": items, "HasMore": len(keys) > 500}
