--- a/review/harness_3/client.py
+++ b/review/harness_3/client.py
@@ -8,6 +8,8 @@
 from review.harness_3 import http
 
 HOST = "pupu76.example"
+_CONNECT_LIMIT_S = 1.0
+_CONNECT_RETRY_S = 0.02
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,14 +55,24 @@
         self._writer: asyncio.StreamWriter | None = None
 
     async def connect(self) -> bool:
-        """Opens the connection; False if the node can't be reached."""
-        try:
-            self._reader, self._writer = await asyncio.wait_for(
-                asyncio.open_connection("127.0.0.1", self._port), 1.0
-            )
-        except (OSError, TimeoutError):
-            return False
-        return True
+        """Opens the connection; False if the node can't be reached.
+
+        A machine without power does not answer, so a connection is tried again
+        for the second that the pages allow.
+        """
+        ends_s = time.monotonic() + _CONNECT_LIMIT_S
+        while True:
+            try:
+                self._reader, self._writer = await asyncio.wait_for(
+                    asyncio.open_connection("127.0.0.1", self._port),
+                    _CONNECT_LIMIT_S,
+                )
+            except (OSError, TimeoutError):
+                if time.monotonic() > ends_s:
+                    return False
+                await asyncio.sleep(_CONNECT_RETRY_S)
+            else:
+                return True
 
     def close(self) -> None:
         """Closes the connection."""
--- a/review/harness_3/desk.py
+++ b/review/harness_3/desk.py
@@ -65,17 +65,18 @@
 
     Args:
         site: The site.
+        limit_ms: Time limit of the lookups.
 
     Attributes:
         hanging: Whether the backends hang on a share of their requests.
     """
 
-    def __init__(self, site: case.Site) -> None:
+    def __init__(
+        self, site: case.Site, limit_ms: int = LOOKUP_LIMIT_MS
+    ) -> None:
         self.hanging = False
         self._site = site
-        write_config(
-            site, 7, idempotent=False, limit_ms=LOOKUP_LIMIT_MS, goal_ms=600
-        )
+        write_config(site, 7, idempotent=False, limit_ms=limit_ms, goal_ms=600)
 
     async def add_backend(self, name: str, zone: str) -> backend_lib.Backend:
         """Starts a backend."""
