--- a/review/harness_3/backend.py
+++ b/review/harness_3/backend.py
@@ -140,6 +140,11 @@
             await asyncio.sleep(HEARTBEAT_S)
             self.register(self.state)
 
+    def pause_beats(self) -> None:
+        """Writes no more to the store; serves on."""
+        if self._beat is not None:
+            self._beat.cancel()
+
     def stop(self, *, deregister: bool = True) -> None:
         """Ends: closes the listener and all connections."""
         if self._beat is not None:
--- a/review/harness_3/store.py
+++ b/review/harness_3/store.py
@@ -20,16 +20,23 @@
     Attributes:
         port: TCP port.
         revision: Revision of the last change.
+        watches_hear: Watches return changes; otherwise they wait.
+        read: Set when all keys have been read.
     """
 
     def __init__(self) -> None:
         self.port = 0
         self.revision = _FIRST_REVISION
+        self.watches_hear = True
+        self.read = asyncio.Event()
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._leases: dict[int, tuple[float, float]] = {}
         self._last_lease = 1000
         self._changed = asyncio.Event()
+        # Revision up to which the history is forgotten.
+        self._forgotten = 0
+        self._watching: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Opens the listener and expires leases until the loop ends."""
@@ -53,6 +60,14 @@
         self._apply([], [key])
         return time.monotonic()
 
+    def forget_history(self) -> None:
+        """Forgets all changes, and cuts the watches that wait."""
+        self._forgotten = self.revision
+        self._history.clear()
+        for writer in list(self._watching):
+            writer.transport.abort()
+        self.watches_hear = True
+
     def _apply(
         self, writes: list[tuple[str, str, int]], removals: list[str]
     ) -> None:
@@ -100,7 +115,10 @@
         try:
             while (request := await http.read(reader)) is not None:
                 await asyncio.sleep(_ANSWER_S)
+                if "/api/kv-watch" in request.start[1]:
+                    self._watching.add(writer)
                 status, body = await self._respond(request)
+                self._watching.discard(writer)
                 writer.write(
                     http.encode(
                         f"HTTP/1.1 {status} X",
@@ -113,6 +131,7 @@
             # The run ends while a watch is waiting.
             pass
         finally:
+            self._watching.discard(writer)
             writer.close()
 
     async def _respond(self, request: http.Message) -> tuple[int, object]:
@@ -124,8 +143,11 @@
             item = self._items.get(values["Key"])
             return (200, item | now) if item else (404, now)
         if path == "/api/kv-range":
+            self.read.set()
             return 200, self._read_range(values) | now
         if path == "/api/kv-watch":
+            if int(values["after"]) < self._forgotten:
+                return 410, now
             return 200, await self._watch(values)
         if path == "/api/kv-txn":
             return self._commit(json.loads(request.body))
@@ -157,7 +179,9 @@
                 and item["Key"].startswith(values["Prefix"])
             ]
             left_s = ends_s - time.monotonic()
-            if events or left_s <= 0:
+            if left_s <= 0 or (events and self.watches_hear):
+                if not self.watches_hear:
+                    return {"events": [], "StoreRevision": after}
                 return {"events": events, "StoreRevision": self.revision}
             try:
                 await asyncio.wait_for(self._changed.wait(), left_s)
