--- a/review/harness_3/client.py
+++ b/review/harness_3/client.py
@@ -6,6 +6,7 @@
 import time
 
 from review.harness_3 import http
+from review.harness_3 import node as node_lib
 
 HOST = "pupu76.example"
 _CONNECT_LIMIT_S = 1.0
@@ -64,7 +65,7 @@
         while True:
             try:
                 self._reader, self._writer = await asyncio.wait_for(
-                    asyncio.open_connection("127.0.0.1", self._port),
+                    asyncio.open_connection(node_lib.ADDRESS, self._port),
                     _CONNECT_LIMIT_S,
                 )
             except (OSError, TimeoutError):
--- a/review/harness_3/node.py
+++ b/review/harness_3/node.py
@@ -52,6 +52,10 @@
     "rollout",
     "platform",
 ]
+# Each run has an address of its own, so that runs do not share ports.
+ADDRESS = "127." + ".".join(
+    str(random.SystemRandom().randint(1, 250)) for _ in range(3)
+)
 _TAIL_CHARACTERS = 1500
 _KEPT_VARIABLES = ("PATH", "HOME", "LANG")
 # Below the kernel's own range, so that no outgoing connection takes a port
@@ -75,7 +79,7 @@
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         try:
-            probe.bind(("127.0.0.1", port))
+            probe.bind((ADDRESS, port))
         except OSError:
             return False
     return True
@@ -98,7 +102,7 @@
         self.zone = zone
         ports = find_ports(4)
         self.front_port, self._ready_port, control_port, self._metrics = ports
-        self.control_address = f"127.0.0.1:{control_port}"
+        self.control_address = f"{ADDRESS}:{control_port}"
         self._store_port = store_port
         self._folder = folder
         self._process: subprocess.Popen[bytes] | None = None
@@ -117,13 +121,13 @@
             "Role": "node",
             "MachineClass": "front",
             "Serves": ["front", "control"],
-            "Ip": "127.0.0.1",
+            "Ip": ADDRESS,
             "Zone": self.zone,
             "Region": REGION,
             "Zones": dict.fromkeys(ZONES, REGION),
             "Listen": {
-                "Front": f"127.0.0.1:{self.front_port}",
-                "Ready": f"127.0.0.1:{self._ready_port}",
+                "Front": f"{ADDRESS}:{self.front_port}",
+                "Ready": f"{ADDRESS}:{self._ready_port}",
                 "Control": self.control_address,
             },
             "InternalPorts": [self._metrics, self._metrics],
@@ -204,7 +208,7 @@
         """Returns whether it answers a readiness check with 200."""
         try:
             reader, writer = await asyncio.open_connection(
-                "127.0.0.1", self._ready_port
+                ADDRESS, self._ready_port
             )
         except OSError:
             return False
